--- /dev/null
+++ b/knapweeddock/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and service stubs generated from ``knapweed.proto``."""
--- /dev/null
+++ b/knapweeddock/state.py
@@ -0,0 +1,74 @@
+"""What a process knows of the system: configuration, members, leaving servers."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from knapweeddock.ids import FailureDomainId, Incarnation, ServerId, SiteId, Version, ViewId, VmId
+from knapweeddock.model import Config
+
+
+class MemberState(Enum):
+    """State of the entry process of a VM."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Member:
+    """The entry process of a VM, as its agent publishes it.
+
+    Attributes:
+        vm: The VM.
+        failure_domain: Failure domain of the VM.
+        incarnation: Random id of the entry process, new at every start.
+        state: State of the entry process.
+        public_address: ``host:port`` for callers.
+        internal_address: ``host:port`` for requests of other entries.
+        lending_address: ``host:port`` of the lending service.
+        lookup_address: ``host:port`` of the VM's look-up process.
+        agent_address: ``host:port`` of the VM's agent.
+        settled_views: The newest view of each local site that the entry has
+            settled in.
+        load: Busy fraction of the entry's slots, from 0 to 1.
+        suspected: Whether heartbeats are missing.
+        down: Whether there is evidence that this incarnation is gone.
+    """
+
+    vm: VmId
+    failure_domain: FailureDomainId
+    incarnation: Incarnation
+    state: MemberState
+    public_address: str
+    internal_address: str
+    lending_address: str
+    lookup_address: str = ""
+    agent_address: str = ""
+    settled_views: dict[SiteId, ViewId] = field(default_factory=dict)
+    load: float = 0.0
+    suspected: bool = False
+    down: bool = False
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new requests may be sent to this entry."""
+        return self.state is MemberState.SERVING and not self.down
+
+
+@dataclass(frozen=True, kw_only=True)
+class NodeState:
+    """A consistent snapshot of what an agent tells the local processes.
+
+    Attributes:
+        config_version: Version of the configuration that is in force here.
+        config: The configuration.
+        members: Entries by VM, down ones included.
+        leaving_servers: Servers that the VM list names as leaving.
+    """
+
+    config_version: Version
+    config: Config
+    members: dict[VmId, Member] = field(default_factory=dict)
+    leaving_servers: frozenset[ServerId] = frozenset()
