--- a/standins/caller.py
+++ b/standins/caller.py
@@ -74,6 +74,7 @@
         latency_s: Time from the intended start to the final answer.
         sends: Number of times that it was sent.
         started_at: Wall time of the intended start.
+        not_run_keys: Keys under which an answer said that nothing was run.
     """
 
     call: Call
@@ -83,6 +84,7 @@
     latency_s: float
     sends: int
     started_at: float
+    not_run_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -184,6 +186,7 @@
             latency_s=time.monotonic() - started,
             sends=flow.sends,
             started_at=started_at,
+            not_run_keys=tuple(flow.not_run_keys),
         )
 
 
@@ -198,6 +201,7 @@
     not_after_ms: int = field(default_factory=lambda: int((time.time() + NOT_AFTER_S) * 1000))
     owner: Entry | None = None
     may_have_run: bool = False
+    not_run_keys: list[str] = field(default_factory=list)
     sends: int = 0
     code: int = -1
 
@@ -240,6 +244,7 @@
             return self.check_body(answer)
         if answer.outcome == "not-run":
             if not self.call.idempotent and not self.may_have_run:
+                self.not_run_keys.append(self.key)
                 self.renew_key()
             excluded.add(entry.incarnation)
             return None
