--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 PYTHON ?= python3
+EXAMPLE ?= karoo-vaal
 VENV := .venv
 BIN := $(VENV)/bin
 
@@ -23,7 +24,7 @@
 	$(BIN)/ruff check --fix .
 
 demo: setup
-	$(BIN)/python -m demo
+	$(BIN)/python -m demo --example $(EXAMPLE)
 
 bench: setup
 	$(BIN)/python -m bench
