Decide about requests: classes, keys, queue, retries and dispatch

The entry daemon needs one deterministic place that decides which request runs where and what its caller is told. The dispatcher takes events and returns actions; keys, queue, retry budget, borrowing and the judgement of failed attempts are modules of their own.

A refusal of a keyed request burns its key. Releasing the key was considered; then a copy of the request that was delayed on the network could start after its caller had been told "not run".

Code 207 is new: past its not-after time plus a retention time a key is forgotten, and "not run" could no longer be proven for it.

--- /dev/null
+++ b/knapweeddock/admission.py
@@ -0,0 +1,122 @@
+"""Decides whether an arrival is new work, a repetition of a key, or refused."""
+
+from knapweeddock.attempts import Work
+from knapweeddock.classify import Classified, Classifier
+from knapweeddock.codes import ResultCode
+from knapweeddock.dispatchsettings import DispatchSettings
+from knapweeddock.events import Arrival
+from knapweeddock.idempotency import KeyRecord, KeyState, KeyTable
+from knapweeddock.model import Config, RequestClass
+
+
+class Admission:
+    """Classifies arrivals and checks their keys and deadlines.
+
+    The key is checked before everything that can refuse a request: a refusal
+    claims that the work was not run, which only the key table knows.
+
+    Attributes:
+        draining: Whether new work is refused because the process stops.
+    """
+
+    def __init__(self, *, settings: DispatchSettings, keys: KeyTable) -> None:
+        self.settings = settings
+        self.keys = keys
+        self.config: Config | None = None
+        self.classifier: Classifier | None = None
+        self.draining = False
+
+    def update(self, config: Config) -> None:
+        """Use another configuration from now on."""
+        if config is not self.config:
+            self.config = config
+            self.classifier = Classifier(config)
+
+    def check(self, arrival: Arrival, now: float) -> Work | KeyRecord | ResultCode:
+        """Return new work, the record of a repeated key, or why there is neither."""
+        classified = self._classify(arrival)
+        idempotent = _is_idempotent(classified)
+        found = self._find_key(arrival, idempotent)
+        if found is not None:
+            return found
+        if isinstance(classified, ResultCode):
+            return classified
+        if self.draining:
+            return ResultCode.DRAINING
+        budget_s = self.budget_s(arrival, classified.request_class)
+        if not budget_s > 0:
+            return ResultCode.DEADLINE_PASSED
+        if not idempotent and arrival.key is None and arrival.grant is None:
+            return ResultCode.KEY_MISSING
+        return self._work(arrival, classified, now + budget_s, now)
+
+    def budget_s(self, arrival: Arrival, request_class: RequestClass) -> float:
+        """Return the time that a request may take, in seconds."""
+        default_s = request_class.deadline_ms / 1000
+        if arrival.budget_s is None:
+            return default_s
+        return min(arrival.budget_s, max(default_s, self.settings.max_budget_s))
+
+    def burn_refused(self, arrival: Arrival, code: ResultCode) -> None:
+        """Make a refusal final for the key of a new request.
+
+        Without this, a copy of the request that was delayed on the network
+        could start after its caller was told "not run".
+        """
+        key = arrival.key
+        if key is None or arrival.grant is not None or code not in FINAL_BY_BURNING:
+            return
+        if _is_idempotent(self._classify(arrival)):
+            return
+        if self.keys.find(key, arrival.body_digest) is None:
+            self.keys.burn(key, arrival.body_digest)
+
+    def _classify(self, arrival: Arrival) -> Classified | ResultCode:
+        if self.classifier is None:
+            return ResultCode.NOT_READY
+        return self.classifier.classify(arrival.host, arrival.method, arrival.path)
+
+    def _find_key(self, arrival: Arrival, idempotent: bool) -> KeyRecord | ResultCode | None:
+        if arrival.key is None or arrival.grant is not None:
+            return None
+        found = self.keys.find(arrival.key, arrival.body_digest)
+        if not idempotent:
+            return found
+        # The class may have been non-idempotent when the key was used first.
+        ran = isinstance(found, KeyRecord) and found.state is not KeyState.NOT_RUN
+        return found if ran else None
+
+    def _work(self, arrival: Arrival, classified: Classified, deadline: float, now: float) -> Work:
+        work = Work(
+            request=arrival.request,
+            service=classified.service,
+            request_class=classified.request_class,
+            deadline=deadline,
+            start_by=deadline,
+            grant=arrival.grant,
+        )
+        if arrival.key is None or arrival.grant or classified.request_class.idempotent:
+            return work
+        work.key = arrival.key
+        not_after = now + self.keys.remaining_s(arrival.key)
+        if not_after < deadline:
+            work.start_by = not_after
+            work.late_code = ResultCode.KEY_EXPIRED
+        return work
+
+
+def _is_idempotent(classified: Classified | ResultCode) -> bool:
+    return isinstance(classified, Classified) and classified.request_class.idempotent
+
+
+FINAL_BY_BURNING = frozenset(
+    {
+        ResultCode.BAD_REQUEST,
+        ResultCode.UNKNOWN_SERVICE,
+        ResultCode.UNKNOWN_CLASS,
+        ResultCode.DEADLINE_PASSED,
+        ResultCode.NO_SITE,
+        ResultCode.NOT_READY,
+    }
+)
+"""Refusals of new requests that a later copy of the same request might not get."""
--- /dev/null
+++ b/knapweeddock/classify.py
@@ -0,0 +1,77 @@
+"""Finds the service and request class of a request from host, method and path."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.ids import ClassId, ServiceId
+from knapweeddock.model import Config, RequestClass
+
+DOT_SEGMENTS = frozenset({".", ".."})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Classified:
+    """The class that a request belongs to.
+
+    Attributes:
+        service: The service that answers to the host name.
+        name: Name of the class within the service.
+        request_class: The class.
+    """
+
+    service: ServiceId
+    name: ClassId
+    request_class: RequestClass
+
+
+class Classifier:
+    """Matches requests against the services of one configuration."""
+
+    def __init__(self, config: Config) -> None:
+        self.routes: dict[str, list[Classified]] = {}
+        for service_id, service in config.services.items():
+            classes = [
+                Classified(service=service_id, name=name, request_class=request_class)
+                for name, request_class in service.classes.items()
+            ]
+            classes.sort(key=_longest_prefix_first)
+            for host in service.hosts:
+                self.routes[_normal_host(host)] = classes
+
+    def classify(self, host: str, method: str, path: str) -> Classified | ResultCode:
+        """Return the class with the longest matching path prefix.
+
+        Args:
+            host: Host name without the port; case and a final dot are ignored.
+            method: HTTP method.
+            path: Path without the query.
+
+        Returns:
+            The class, or ``UNKNOWN_SERVICE``, ``UNKNOWN_CLASS`` or
+            ``BAD_REQUEST``. Paths with dot segments are refused, because a
+            server that resolves them would run another class than the one
+            that was matched here.
+        """
+        classes = self.routes.get(_normal_host(host))
+        if classes is None:
+            return ResultCode.UNKNOWN_SERVICE
+        if not path.startswith("/") or _has_dot_segment(path):
+            return ResultCode.BAD_REQUEST
+        for candidate in classes:
+            request_class = candidate.request_class
+            if method in request_class.methods and path.startswith(request_class.path_prefix):
+                return candidate
+        return ResultCode.UNKNOWN_CLASS
+
+
+def _normal_host(host: str) -> str:
+    return host.lower().removesuffix(".")
+
+
+def _has_dot_segment(path: str) -> bool:
+    return not DOT_SEGMENTS.isdisjoint(unquote(path).split("/"))
+
+
+def _longest_prefix_first(classified: Classified) -> tuple[int, str]:
+    return (-len(classified.request_class.path_prefix), classified.name)
--- a/knapweeddock/codes.py
+++ b/knapweeddock/codes.py
@@ -45,6 +45,7 @@
     OTHER_INCARNATION = 204
     INCOMPLETE_ANSWER = 205
     ANSWER_NOT_KEPT = 206
+    KEY_FORGOTTEN = 207
 
     SYNTAX = 301
     DUPLICATE_KEY = 302
@@ -111,7 +112,7 @@
         422, "The key was used before with a different request; this request was not run."
     ),
     ResultCode.KEY_BURNED: _not_run(
-        409, "The key was declared never to be started by an outcome query."
+        409, "The key was declared never to be started by an outcome query or a refusal."
     ),
     ResultCode.KEY_TABLE_FULL: _not_run(503, "The table of idempotency keys is full."),
     ResultCode.QUEUE_FULL: _not_run(503, "The queue of the pool is full."),
@@ -141,6 +142,9 @@
     ResultCode.ANSWER_NOT_KEPT: _unknown(
         409, "The request ran once; its answer was too large to keep for a repeated request."
     ),
+    ResultCode.KEY_FORGOTTEN: _unknown(
+        409, "The not-after time passed so long ago that the key is no longer remembered."
+    ),
     ResultCode.SYNTAX: _not_run(400, "A file is not valid JSON with comments."),
     ResultCode.DUPLICATE_KEY: _not_run(400, "An object names the same key twice."),
     ResultCode.UNKNOWN_FIELD: _not_run(400, "A field is not known."),
--- /dev/null
+++ b/knapweeddock/dispatcher.py
@@ -0,0 +1,378 @@
+"""The pipeline of a request: classify, deadline, key, admit, slot, send, settle.
+
+The dispatcher is deterministic and does no I/O. Each event gives a list of
+actions, which the daemon carries out in order.
+"""
+
+import random
+from typing import assert_never
+
+from knapweeddock.admission import Admission
+from knapweeddock.attempts import Attempt, Attempts, Work
+from knapweeddock.borrowing import Borrowing
+from knapweeddock.budget import RetryBudget
+from knapweeddock.callers import Callers
+from knapweeddock.capacity import Capacity
+from knapweeddock.codes import Outcome, ResultCode, outcome_of
+from knapweeddock.dispatchsettings import DispatchSettings
+from knapweeddock.events import (
+    Action,
+    Arrival,
+    AttemptCommitted,
+    AttemptEnded,
+    AttemptOutcome,
+    BorrowEnded,
+    CallerGone,
+    CancelAttempt,
+    Deliver,
+    DrainStarted,
+    Event,
+    ForgetAnswer,
+    IdempotencyKey,
+    Reply,
+    Tick,
+)
+from knapweeddock.grants import Loan, Slot, SlotOutcome
+from knapweeddock.idempotency import KeyRecord, KeyState, KeyTable, OutcomeAnswer
+from knapweeddock.ids import (
+    AttemptId,
+    FailureDomainId,
+    Incarnation,
+    PoolId,
+    RequestId,
+    ServiceId,
+    VmId,
+)
+from knapweeddock.queueing import PoolQueue
+from knapweeddock.retryafter import RetryAfter
+from knapweeddock.state import NodeState
+from knapweeddock.verdicts import SLOT_OUTCOMES, judge
+
+
+class Dispatcher:
+    """Decides about the requests of one entry process."""
+
+    def __init__(
+        self,
+        *,
+        settings: DispatchSettings,
+        capacity: Capacity,
+        idempotency: KeyTable,
+        rng: random.Random,
+        vm: VmId,
+        failure_domain: FailureDomainId,
+    ) -> None:
+        self.settings = settings
+        self.capacity = capacity
+        self.keys = idempotency
+        self.retry_after = RetryAfter(settings=settings, rng=rng)
+        self.admission = Admission(settings=settings, keys=idempotency)
+        self.attempts = Attempts(capacity=capacity, incarnation=idempotency.incarnation)
+        self.borrowing = Borrowing(
+            settings=settings,
+            capacity=capacity,
+            vm=vm,
+            failure_domain=failure_domain,
+            incarnation=idempotency.incarnation,
+        )
+        self.queues: dict[PoolId, PoolQueue] = {}
+        self.budgets: dict[ServiceId, RetryBudget] = {}
+        self.callers = Callers()
+        self.actions: list[Action] = []
+
+    def update(self, state: NodeState, now: float) -> None:
+        """Take a new snapshot; the next ``Tick`` starts what it made possible."""
+        self.admission.update(state.config)
+        self.capacity.update(state, now)
+
+    def outcome_query(self, key: IdempotencyKey, now: float) -> OutcomeAnswer:
+        """Answer what happened to a key; one that was never seen is burned first."""
+        return self.keys.outcome(key)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in an event and return the actions that follow from it."""
+        self.actions = []
+        match event:
+            case Arrival():
+                self._arrival(event, now)
+            case AttemptCommitted(attempt=attempt):
+                self._committed(attempt)
+            case AttemptEnded():
+                self._ended(event, now)
+            case CallerGone(request=request):
+                self._caller_gone(request, now)
+            case BorrowEnded():
+                self._borrow_ended(event, now)
+            case DrainStarted():
+                self.admission.draining = True
+            case Tick():
+                self._tick(now)
+            case _:
+                assert_never(event)
+        return self.actions
+
+    def _arrival(self, arrival: Arrival, now: float) -> None:
+        checked = self.admission.check(arrival, now)
+        match checked:
+            case ResultCode():
+                self._refuse(arrival, checked)
+            case KeyRecord():
+                self._repeat(arrival, checked, now)
+            case Work():
+                self._admit(arrival, checked, now)
+
+    def _refuse(self, arrival: Arrival, code: ResultCode) -> None:
+        self.admission.burn_refused(arrival, code)
+        other = code is ResultCode.OTHER_INCARNATION and arrival.key is not None
+        ask = arrival.key.incarnation if other else None
+        retry_after_s = self.retry_after.without_work(code)
+        self._reply(arrival.request, code, retry_after_s=retry_after_s, ask=ask)
+
+    def _repeat(self, arrival: Arrival, record: KeyRecord, now: float) -> None:
+        match record:
+            case KeyRecord(state=KeyState.RUNNING, work=Work() as work):
+                self._join(arrival, work, now)
+            case KeyRecord(state=KeyState.COMPLETE, attempt=None):
+                self._reply(arrival.request, ResultCode.ANSWER_NOT_KEPT)
+            case KeyRecord(state=KeyState.COMPLETE):
+                self.actions.append(Deliver(request=arrival.request, attempt=record.attempt))
+            case KeyRecord(state=KeyState.NOT_RUN):
+                self._reply(arrival.request, ResultCode.KEY_BURNED)
+            case _:
+                self._reply(arrival.request, record.code or ResultCode.SERVER_LOST)
+
+    def _join(self, arrival: Arrival, work: Work, now: float) -> None:
+        budget_s = self.admission.budget_s(arrival, work.request_class)
+        if not budget_s > 0:
+            self._reply(arrival.request, ResultCode.DEADLINE_DURING_RUN)
+            return
+        self.callers.join(arrival.request, work, now + budget_s)
+
+    def _admit(self, arrival: Arrival, work: Work, now: float) -> None:
+        obstacle = self._obstacle(arrival, work)
+        if obstacle is not None:
+            self._refuse(arrival, obstacle)
+            return
+        self.callers.add(work)
+        self._budget(work.service, now).record_request()
+        if work.grant is not None:
+            self._start_granted(work, now)
+            return
+        queue = self._queue(work)
+        self._start_waiting(work.pool, now)
+        if queue or not self._start(work, now):
+            self._enqueue(work, queue, now)
+
+    def _obstacle(self, arrival: Arrival, work: Work) -> ResultCode | None:
+        if work.grant is None and not self.capacity.has_site(work.pool):
+            return ResultCode.NO_SITE
+        if work.key is not None and not self.keys.add(work.key, arrival.body_digest, work):
+            return ResultCode.KEY_TABLE_FULL
+        return None
+
+    def _enqueue(self, work: Work, queue: PoolQueue, now: float) -> None:
+        code = queue.refusal(work, running=self.attempts.running_in(work.pool), now=now)
+        if code is None:
+            queue.push(work)
+            self._borrow(work.pool, len(queue), now)
+        else:
+            # A refused request is demand too: slots borrowed now serve the next one.
+            self._borrow(work.pool, len(queue) + 1, now)
+            self._give_up(work, code)
+
+    def _start(self, work: Work, now: float) -> bool:
+        holder: Slot | Loan | None = self.capacity.acquire(
+            work.pool, now, exclude=frozenset(work.tried)
+        )
+        if holder is None:
+            holder = self.capacity.acquire_loan(work.pool, now)
+        if holder is None:
+            return False
+        self.actions.append(self.attempts.start(work, holder, now))
+        return True
+
+    def _start_granted(self, work: Work, now: float) -> None:
+        slot = self.capacity.acquire_granted(
+            work.grant.grant, work.grant.incarnation, now, exclude=frozenset(work.tried)
+        )
+        if isinstance(slot, ResultCode):
+            self._give_up(work, slot)
+        else:
+            self.actions.append(self.attempts.start(work, slot, now))
+
+    def _start_waiting(self, pool: PoolId, now: float) -> None:
+        queue = self.queues.get(pool)
+        for work in queue or ():
+            if work.start_by <= now:
+                self._give_up(work, work.late_code)
+            elif self._start(work, now):
+                queue.remove(work)
+            elif not work.tried:
+                # Nothing is free for any server, so no later work can start.
+                break
+
+    def _review(self, pool: PoolId, now: float) -> None:
+        """Give up the waiting work that can no longer be started in time."""
+        queue = self.queues[pool]
+        running = self.attempts.running_in(pool)
+        has_site = self.capacity.has_site(pool)
+        position = 0
+        for work in queue:
+            if not has_site:
+                self._give_up(work, ResultCode.NO_SITE)
+            elif queue.too_late(work, position, running=running, now=now):
+                self._give_up(work, ResultCode.WAIT_TOO_LONG)
+            else:
+                position += 1
+
+    def _borrow(self, pool: PoolId, wanted: int, now: float) -> None:
+        """Ask lenders, and give up all waiting work when no slot can come free."""
+        self.actions.extend(self.borrowing.ask(pool, wanted, now))
+        if self.attempts.running_in(pool) or self.borrowing.outstanding(pool):
+            return
+        for work in self.queues[pool]:
+            self._give_up(work, ResultCode.WAIT_TOO_LONG)
+
+    def _serve_queue(self, pool: PoolId, now: float) -> None:
+        queue = self.queues.get(pool)
+        if queue:
+            self._start_waiting(pool, now)
+        if queue:
+            self._borrow(pool, len(queue), now)
+
+    def _committed(self, attempt_id: AttemptId) -> None:
+        attempt = self.attempts.running.get(attempt_id)
+        if attempt is not None:
+            attempt.committed = True
+
+    def _ended(self, event: AttemptEnded, now: float) -> None:
+        attempt = self.attempts.finish(event.attempt, SLOT_OUTCOMES[event.outcome], now)
+        if attempt is None:
+            return
+        if event.outcome is AttemptOutcome.ANSWERED:
+            self._queue(attempt.work).observe(now - attempt.started_at)
+            self._complete(attempt, event.answer_bytes)
+        else:
+            self._failed(attempt, event, now)
+        self._serve_queue(attempt.work.pool, now)
+
+    def _complete(self, attempt: Attempt, answer_bytes: int) -> None:
+        work = attempt.work
+        waiters = self.callers.take(work)
+        for request in waiters:
+            self.actions.append(Deliver(request=request, attempt=attempt.attempt))
+        if work.key is not None:
+            kept = self.keys.complete(work.key, attempt.attempt, answer_bytes)
+        else:
+            kept = bool(waiters)
+        if not kept:
+            self.actions.append(ForgetAnswer(attempt=attempt.attempt))
+
+    def _failed(self, attempt: Attempt, event: AttemptEnded, now: float) -> None:
+        work = attempt.work
+        verdict = judge(attempt, event)
+        match attempt.holder:
+            case Slot(server=server):
+                work.tried.add(server)
+            case Loan(grant=grant) if verdict.grant_ended:
+                self.capacity.drop_grant(grant)
+                work.attempts -= 1
+        if not verdict.not_run:
+            work.unknown_code = verdict.code
+        elif not verdict.grant_ended:
+            work.refusal_code = verdict.code
+        if not verdict.retriable or work.start_by <= now:
+            self._give_up(work, verdict.code, retry_after_s=event.retry_after_s)
+        elif verdict.grant_ended or self._may_retry(work, now):
+            self._retry(work, now)
+        else:
+            self._give_up(work, verdict.code, retry_after_s=event.retry_after_s)
+
+    def _may_retry(self, work: Work, now: float) -> bool:
+        if work.attempts >= self.settings.max_attempts:
+            return False
+        return self._budget(work.service, now).withdraw(now)
+
+    def _retry(self, work: Work, now: float) -> None:
+        if work.grant is not None:
+            self._start_granted(work, now)
+            return
+        queue = self._queue(work)
+        if len(queue) >= queue.limit:
+            self._give_up(work, ResultCode.QUEUE_FULL)
+            return
+        if work.tried:
+            work.start_by = min(work.start_by, now + self.settings.retry_wait_s)
+        queue.push(work)
+
+    def _give_up(self, work: Work, code: ResultCode, *, retry_after_s: float | None = None) -> None:
+        """Answer everyone who waits for work that is not attempted again."""
+        queue = self._queue(work)
+        queue.remove(work)
+        code = work.unknown_code or work.refusal_code or code
+        unknown = outcome_of(code) is Outcome.UNKNOWN
+        if work.key is not None and unknown:
+            self.keys.lose(work.key, code)
+        elif work.key is not None:
+            self.keys.burn(work.key)
+        if retry_after_s is None:
+            running = self.attempts.running_in(work.pool)
+            retry_after_s = self.retry_after.for_work(work, code, queue, running)
+        for request in self.callers.take(work):
+            self._reply(request, code, retry_after_s=retry_after_s)
+
+    def _caller_gone(self, request: RequestId, now: float) -> None:
+        work = self.callers.leave(request)
+        if work is None or not work.request_class.idempotent:
+            return
+        if work.attempt is None:
+            self._queue(work).remove(work)
+            return
+        attempt_id = work.attempt.attempt
+        self.attempts.finish(attempt_id, SlotOutcome.UNUSED, now)
+        self.actions.append(CancelAttempt(attempt=attempt_id))
+        self._serve_queue(work.pool, now)
+
+    def _borrow_ended(self, event: BorrowEnded, now: float) -> None:
+        pool = self.borrowing.ended(event, now)
+        if pool is not None:
+            self._start_waiting(pool, now)
+            self._review(pool, now)
+            self._serve_queue(pool, now)
+
+    def _tick(self, now: float) -> None:
+        self.capacity.tick(now)
+        for request in self.callers.take_late(now):
+            self._reply(request, ResultCode.DEADLINE_DURING_RUN)
+        for attempt in self.keys.expire():
+            self.actions.append(ForgetAnswer(attempt=attempt))
+        for pool, queue in self.queues.items():
+            if queue:
+                self._start_waiting(pool, now)
+                self._review(pool, now)
+                self._serve_queue(pool, now)
+
+    def _reply(
+        self,
+        request: RequestId,
+        code: ResultCode,
+        *,
+        retry_after_s: float | None = None,
+        ask: Incarnation | None = None,
+    ) -> None:
+        reply = Reply(request=request, code=code, retry_after_s=retry_after_s, ask=ask)
+        self.actions.append(reply)
+
+    def _queue(self, work: Work) -> PoolQueue:
+        queue = self.queues.get(work.pool)
+        if queue is None:
+            queue = PoolQueue(limit=self.settings.max_queue, service_time_s=work.service_time_s)
+            self.queues[work.pool] = queue
+        return queue
+
+    def _budget(self, service: ServiceId, now: float) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(limits=self.settings.retries, now=now)
+            self.budgets[service] = budget
+        return budget
--- /dev/null
+++ b/knapweeddock/idempotency.py
@@ -0,0 +1,222 @@
+"""The table of idempotency keys: at most one start for each key.
+
+A key belongs to the entry process whose incarnation it names. It stays in the
+table at least until its not-after time has passed on the anchored wall clock,
+and as long as its work waits or runs.
+"""
+
+import heapq
+from dataclasses import dataclass
+from enum import Enum
+
+from knapweeddock.attempts import Work
+from knapweeddock.clock import Clock
+from knapweeddock.codes import ResultCode
+from knapweeddock.dispatchsettings import KeyLimits
+from knapweeddock.events import IdempotencyKey
+from knapweeddock.ids import AttemptId, Incarnation
+
+
+class KeyState(Enum):
+    """What happened to a key."""
+
+    RUNNING = "running"
+    """Its work waits or runs."""
+    COMPLETE = "complete"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+    """It was never started and never will be."""
+
+
+@dataclass(kw_only=True, eq=False, slots=True)
+class KeyRecord:
+    """A key in the table.
+
+    Attributes:
+        key: The key.
+        digest: Digest of the request that used the key first; empty for a
+            key that only an outcome query named.
+        state: What happened.
+        work: The work while it waits or runs.
+        attempt: Attempt whose answer is kept.
+        answer_bytes: Size of the kept answer.
+        code: Result code when the outcome is unknown.
+    """
+
+    key: IdempotencyKey
+    digest: bytes
+    state: KeyState
+    work: Work | None = None
+    attempt: AttemptId | None = None
+    answer_bytes: int = 0
+    code: ResultCode | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OutcomeAnswer:
+    """Answer to an outcome query.
+
+    Attributes:
+        state: What happened to the key. This, not the outcome that ``code``
+            has for requests, is what the caller may conclude.
+        attempt: Attempt whose kept answer can be delivered.
+        code: Result code that explains the state.
+        ask: Incarnation that knows the key, when it is another one.
+    """
+
+    state: KeyState
+    attempt: AttemptId | None = None
+    code: ResultCode = ResultCode.OK
+    ask: Incarnation | None = None
+
+
+class KeyTable:
+    """Keys of non-idempotent requests that this entry process owns."""
+
+    def __init__(self, *, incarnation: Incarnation, clock: Clock, limits: KeyLimits) -> None:
+        self.incarnation = incarnation
+        self.clock = clock
+        self.limits = limits
+        self.started_at = clock.wall()
+        self.records: dict[str, KeyRecord] = {}
+        self.expiries: list[tuple[float, str]] = []
+        self.kept_bytes = 0
+
+    def find(self, key: IdempotencyKey, digest: bytes) -> KeyRecord | ResultCode | None:
+        """Return what is known of the key of a request.
+
+        Returns:
+            The record of a repeated key; None when the key is new and may be
+            started; otherwise why the request is refused.
+        """
+        if key.incarnation != self.incarnation:
+            return ResultCode.OTHER_INCARNATION
+        record = self.records.get(key.key)
+        if record is None:
+            return self._unseen(key)
+        if record.key.not_after != key.not_after:
+            return ResultCode.KEY_MISMATCH
+        if record.digest and record.digest != digest:
+            return ResultCode.KEY_MISMATCH
+        return record
+
+    def add(self, key: IdempotencyKey, digest: bytes, work: Work) -> bool:
+        """Record new work and return False when the table is full."""
+        record = KeyRecord(key=key, digest=digest, state=KeyState.RUNNING, work=work)
+        return self._insert(record)
+
+    def burn(self, key: IdempotencyKey, digest: bytes = b"") -> bool:
+        """Record a key as never to be started; return False when the table is full.
+
+        The key must not have been started.
+        """
+        record = self.records.get(key.key)
+        if record is None:
+            return self._insert(KeyRecord(key=key, digest=digest, state=KeyState.NOT_RUN))
+        record.state = KeyState.NOT_RUN
+        record.work = None
+        return True
+
+    def complete(self, key: IdempotencyKey, attempt: AttemptId, answer_bytes: int) -> bool:
+        """Record the answer of a key and return whether the answer is kept."""
+        record = self.records[key.key]
+        record.state = KeyState.COMPLETE
+        record.work = None
+        fits = answer_bytes <= self.limits.max_answer_bytes
+        fits = fits and self.kept_bytes + answer_bytes <= self.limits.max_kept_bytes
+        if not fits or self._past(key):
+            return False
+        record.attempt = attempt
+        record.answer_bytes = answer_bytes
+        self.kept_bytes += answer_bytes
+        return True
+
+    def lose(self, key: IdempotencyKey, code: ResultCode) -> None:
+        """Record that the outcome of a started key is unknown."""
+        record = self.records[key.key]
+        record.state = KeyState.UNKNOWN
+        record.work = None
+        record.code = code
+
+    def outcome(self, key: IdempotencyKey) -> OutcomeAnswer:
+        """Answer an outcome query; a key that was never seen is burned first."""
+        record = self.records.get(key.key)
+        if record is not None and record.key == key:
+            return _answer(record)
+        found = self.find(key, b"")
+        match found:
+            case ResultCode.OTHER_INCARNATION:
+                return OutcomeAnswer(state=KeyState.UNKNOWN, code=found, ask=key.incarnation)
+            case ResultCode.KEY_EXPIRED if self._past(key):
+                return OutcomeAnswer(state=KeyState.NOT_RUN, code=found)
+            case ResultCode():
+                return OutcomeAnswer(state=KeyState.UNKNOWN, code=found)
+        if not self.burn(key):
+            return OutcomeAnswer(state=KeyState.UNKNOWN, code=ResultCode.KEY_TABLE_FULL)
+        return OutcomeAnswer(state=KeyState.NOT_RUN, code=ResultCode.KEY_BURNED)
+
+    def remaining_s(self, key: IdempotencyKey) -> float:
+        """Return the seconds until the key must not be started any more."""
+        return key.not_after - self.clock.wall()
+
+    def expire(self) -> list[AttemptId]:
+        """Forget what is past its time and return attempts whose answers are not needed."""
+        wall = self.clock.wall()
+        forgotten: list[AttemptId] = []
+        while self.expiries and self.expiries[0][0] <= wall:
+            _, name = heapq.heappop(self.expiries)
+            record = self.records.get(name)
+            if record is not None:
+                forgotten.extend(self._expire_record(record, wall))
+        return forgotten
+
+    def _expire_record(self, record: KeyRecord, wall: float) -> list[AttemptId]:
+        forgotten = [] if record.attempt is None else [record.attempt]
+        record.attempt = None
+        self.kept_bytes -= record.answer_bytes
+        record.answer_bytes = 0
+        end = record.key.not_after
+        if record.state is not KeyState.NOT_RUN:
+            end += self.limits.retention_s
+        if record.state is KeyState.RUNNING:
+            end = max(end, wall + self.limits.retention_s)
+        if end > wall:
+            heapq.heappush(self.expiries, (end, record.key.key))
+        else:
+            del self.records[record.key.key]
+        return forgotten
+
+    def _unseen(self, key: IdempotencyKey) -> ResultCode | None:
+        remaining = self.remaining_s(key)
+        if remaining > self.limits.max_key_life_s:
+            return ResultCode.KEY_EXPIRED
+        if remaining > 0:
+            return None
+        forgotten = -remaining >= self.limits.retention_s
+        if forgotten and key.not_after > self.started_at:
+            return ResultCode.KEY_FORGOTTEN
+        return ResultCode.KEY_EXPIRED
+
+    def _past(self, key: IdempotencyKey) -> bool:
+        return self.remaining_s(key) <= 0
+
+    def _insert(self, record: KeyRecord) -> bool:
+        if len(self.records) >= self.limits.max_keys:
+            return False
+        self.records[record.key.key] = record
+        heapq.heappush(self.expiries, (record.key.not_after, record.key.key))
+        return True
+
+
+def _answer(record: KeyRecord) -> OutcomeAnswer:
+    match record.state:
+        case KeyState.COMPLETE if record.attempt is None:
+            return OutcomeAnswer(state=record.state, code=ResultCode.ANSWER_NOT_KEPT)
+        case KeyState.COMPLETE:
+            return OutcomeAnswer(state=record.state, attempt=record.attempt)
+        case KeyState.UNKNOWN:
+            return OutcomeAnswer(state=record.state, code=record.code or ResultCode.SERVER_LOST)
+        case KeyState.NOT_RUN:
+            return OutcomeAnswer(state=record.state, code=ResultCode.KEY_BURNED)
+        case KeyState.RUNNING:
+            return OutcomeAnswer(state=record.state)
--- /dev/null
+++ b/knapweeddock/memorycapacity.py
@@ -0,0 +1,191 @@
+"""Capacity in memory for tests: a fixed number of slots and loans added by hand."""
+
+from collections import Counter
+
+from knapweeddock.capacity import Capacity
+from knapweeddock.codes import ResultCode
+from knapweeddock.grants import (
+    BorrowRequest,
+    Grant,
+    LenderCandidate,
+    Loan,
+    Refusal,
+    ServerReport,
+    Slot,
+    SlotOutcome,
+)
+from knapweeddock.ids import GrantId, Incarnation, PoolId, ServerId, SiteId, ViewId
+from knapweeddock.state import NodeState
+
+
+class MemoryCapacity(Capacity):
+    """Slots of a few pools without ranks, views or ramps.
+
+    Attributes:
+        free: Free own slots by pool, the next one last.
+        held: Own slots in use.
+        loans: Free loans by pool.
+        held_loans: Loans in use.
+        candidates: Lenders by pool, the best one first.
+        refused_until: Time until which a lender is left alone.
+        granted: Free slots by grant of this entry.
+        dropped: Grants that their lender no longer honours.
+        outcomes: How often each server's slots were released with an outcome.
+        pools: Pools that have a site.
+    """
+
+    def __init__(self, *, incarnation: Incarnation, slots: dict[PoolId, list[Slot]]) -> None:
+        self.incarnation = incarnation
+        self.free = {pool: list(reversed(free)) for pool, free in slots.items()}
+        self.homes: dict[Slot, list[Slot]] = {
+            slot: home for home in self.free.values() for slot in home
+        }
+        self.held: set[Slot] = set()
+        self.loans: dict[PoolId, list[Loan]] = {}
+        self.loan_pools: dict[GrantId, PoolId] = {}
+        self.held_loans: Counter[Loan] = Counter()
+        self.candidates: dict[PoolId, list[LenderCandidate]] = {}
+        self.refused_until: dict[LenderCandidate, float] = {}
+        self.granted: dict[GrantId, list[Slot]] = {}
+        self.dropped: set[GrantId] = set()
+        self.outcomes: Counter[tuple[ServerId, SlotOutcome]] = Counter()
+        self.pools = set(slots)
+
+    @property
+    def held_count(self) -> int:
+        """Number of slots and loans in use."""
+        return len(self.held) + self.held_loans.total()
+
+    def add_loan(self, pool: PoolId, loan: Loan, count: int) -> None:
+        """Add ``count`` free loans of one grant."""
+        self.loans.setdefault(pool, []).extend([loan] * count)
+        self.loan_pools[loan.grant] = pool
+
+    def add_grant(self, grant: GrantId, slots: list[Slot]) -> None:
+        """Let requests of another entry use ``slots``, which are not own slots then."""
+        self.granted[grant] = list(slots)
+        self.homes.update(dict.fromkeys(slots, self.granted[grant]))
+
+    def update(self, state: NodeState, now: float) -> None:
+        """Do nothing: the slots are fixed."""
+
+    def observe(self, report: ServerReport, now: float) -> None:
+        """Do nothing: servers are not measured."""
+
+    def tick(self, now: float) -> None:
+        """Do nothing: loans have no terms."""
+
+    def acquire(
+        self, pool: PoolId, now: float, *, exclude: frozenset[ServerId] = frozenset()
+    ) -> Slot | None:
+        """Take a free slot on a server outside ``exclude``."""
+        return self._take(self.free.get(pool, []), exclude)
+
+    def release(self, slot: Slot, outcome: SlotOutcome, now: float) -> None:
+        """Give a slot back; one that is not held raises ``KeyError``."""
+        self.held.remove(slot)
+        self.outcomes[slot.server, outcome] += 1
+        self.homes[slot].append(slot)
+
+    def grant(self, request: BorrowRequest, now: float) -> Grant | Refusal:
+        """Refuse to lend."""
+        return Refusal(code=ResultCode.SHED, retry_after_s=1.0)
+
+    def acquire_granted(
+        self,
+        grant: GrantId,
+        incarnation: Incarnation,
+        now: float,
+        *,
+        exclude: frozenset[ServerId] = frozenset(),
+    ) -> Slot | ResultCode:
+        """Take a free slot of a grant that was added by hand."""
+        if grant not in self.granted or incarnation != self.incarnation:
+            return ResultCode.GRANT_LAPSED
+        return self._take(self.granted[grant], exclude) or ResultCode.SHED
+
+    def lenders(self, pool: PoolId, now: float) -> list[LenderCandidate]:
+        """Return the lenders that have not refused lately."""
+        candidates = self.candidates.get(pool, [])
+        return [c for c in candidates if self.refused_until.get(c, now) <= now]
+
+    def borrowed(self, grant: Grant, asked_at: float, now: float) -> None:
+        """Add the loans of a grant to the pool of its lender's site."""
+        loan = Loan(
+            grant=grant.grant,
+            lender=grant.lender,
+            incarnation=grant.incarnation,
+            site=grant.site,
+            internal_address=grant.internal_address,
+        )
+        self.add_loan(self._pool_of(grant.site), loan, grant.count)
+
+    def lender_refused(self, lender: LenderCandidate, retry_after_s: float, now: float) -> None:
+        """Leave a lender alone for a time."""
+        self.refused_until[lender] = now + retry_after_s
+
+    def acquire_loan(self, pool: PoolId, now: float) -> Loan | None:
+        """Take a free loan."""
+        free = self.loans.get(pool)
+        if not free:
+            return None
+        loan = free.pop()
+        self.held_loans[loan] += 1
+        return loan
+
+    def release_loan(self, loan: Loan, now: float) -> None:
+        """Give a loan back; one that is not held raises ``KeyError``."""
+        if self.held_loans[loan] <= 0:
+            raise KeyError(loan)
+        self.held_loans[loan] -= 1
+        if loan.grant not in self.dropped:
+            self.loans[self.loan_pools[loan.grant]].append(loan)
+
+    def drop_grant(self, grant: GrantId) -> None:
+        """Remove the free loans of a grant."""
+        self.dropped.add(grant)
+        for loans in self.loans.values():
+            loans[:] = [loan for loan in loans if loan.grant != grant]
+
+    def has_site(self, pool: PoolId) -> bool:
+        """Whether the pool was given slots or lenders."""
+        return pool in self.pools or pool in self.candidates
+
+    def settled_views(self) -> dict[SiteId, ViewId]:
+        """Return nothing: there are no views."""
+        return {}
+
+    def load(self) -> float:
+        """Return the busy fraction of the own slots."""
+        free = sum(len(slots) for slots in self.free.values())
+        total = free + len(self.held)
+        return len(self.held) / total if total else 0.0
+
+    def _take(self, free: list[Slot], exclude: frozenset[ServerId]) -> Slot | None:
+        for index in reversed(range(len(free))):
+            if free[index].server not in exclude:
+                slot = free.pop(index)
+                self.held.add(slot)
+                return slot
+        return None
+
+    def _pool_of(self, site: SiteId) -> PoolId:
+        for pool, candidates in self.candidates.items():
+            if any(candidate.site == site for candidate in candidates):
+                return pool
+        raise KeyError(site)
+
+
+def make_slots(site: SiteId, *, servers: int, slots_per_server: int) -> list[Slot]:
+    """Return the slots of a site whose servers are named after it."""
+    return [
+        Slot(
+            site=site,
+            server=ServerId(f"{site}-{server}"),
+            index=index,
+            rank=index * servers + server,
+            address=f"127.0.0.1:{9000 + server}",
+        )
+        for index in range(slots_per_server)
+        for server in range(servers)
+    ]
--- /dev/null
+++ b/knapweeddock/queueing.py
@@ -0,0 +1,101 @@
+"""The bounded queue of a pool and the estimate of the wait in it."""
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from knapweeddock.attempts import Work
+from knapweeddock.codes import ResultCode
+
+SERVICE_TIME_WEIGHT = 0.1
+"""Weight of a new measurement in the moving average of the service time."""
+
+
+@dataclass(order=True, kw_only=True, slots=True)
+class QueueEntry:
+    """Waiting work with its place: priority, then deadline, then arrival order."""
+
+    priority: int
+    deadline: float
+    number: int
+    work: Work = field(compare=False)
+
+
+class PoolQueue:
+    """Work that waits for slots of one pool.
+
+    Attributes:
+        limit: Largest number of waiting requests.
+        service_time_s: Moving average of the time that an attempt takes.
+    """
+
+    def __init__(self, *, limit: int, service_time_s: float) -> None:
+        self.limit = limit
+        self.service_time_s = service_time_s
+        self.entries: list[QueueEntry] = []
+        self.pushed = 0
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def __iter__(self) -> Iterator[Work]:
+        """Iterate over a copy, in order, so that work may be removed meanwhile."""
+        return iter([entry.work for entry in self.entries])
+
+    def push(self, work: Work) -> None:
+        """Add work at its place."""
+        self.pushed += 1
+        insort(self.entries, _entry(work, number=self.pushed))
+
+    def remove(self, work: Work) -> bool:
+        """Take work out and return whether it was waiting."""
+        place = _entry(work, number=0)
+        for index in range(bisect_left(self.entries, place), len(self.entries)):
+            entry = self.entries[index]
+            if entry.work is work:
+                del self.entries[index]
+                return True
+            if (entry.priority, entry.deadline) != (place.priority, place.deadline):
+                break
+        return False
+
+    def position(self, work: Work) -> int:
+        """Return how much waiting work new ``work`` would have before it."""
+        return bisect_left(self.entries, _entry(work, number=self.pushed + 1))
+
+    def observe(self, service_time_s: float) -> None:
+        """Take in the measured time of an answered attempt."""
+        self.service_time_s += SERVICE_TIME_WEIGHT * (service_time_s - self.service_time_s)
+
+    def estimated_wait(self, position: int, running: int) -> float:
+        """Return the expected wait in seconds behind ``position`` others.
+
+        Args:
+            position: Waiting work that goes first.
+            running: Attempts that run now; each gives its slot back once per
+                service time.
+        """
+        return (position + 1) * self.service_time_s / max(1, running)
+
+    def refusal(self, work: Work, *, running: int, now: float) -> ResultCode | None:
+        """Return why new ``work`` may not wait here, or None when it may."""
+        if len(self.entries) >= self.limit:
+            return ResultCode.QUEUE_FULL
+        if self.too_late(work, self.position(work), running=running, now=now):
+            return ResultCode.WAIT_TOO_LONG
+        return None
+
+    def too_late(self, work: Work, position: int, *, running: int, now: float) -> bool:
+        """Whether the expected wait leaves less than the class's service time."""
+        wait = self.estimated_wait(position, running)
+        starts_late = now + wait > work.start_by
+        return starts_late or wait > work.deadline - now - work.service_time_s
+
+
+def _entry(work: Work, *, number: int) -> QueueEntry:
+    return QueueEntry(
+        priority=work.request_class.priority,
+        deadline=work.deadline,
+        number=number,
+        work=work,
+    )
--- /dev/null
+++ b/knapweeddock/retryafter.py
@@ -0,0 +1,58 @@
+"""When a caller whose request was given up should come back."""
+
+import random
+
+from knapweeddock.attempts import Work
+from knapweeddock.codes import Outcome, ResultCode, outcome_of
+from knapweeddock.dispatchsettings import DispatchSettings
+from knapweeddock.queueing import PoolQueue
+
+RETRY_AFTER_CODES = frozenset(
+    {
+        ResultCode.DEADLINE_PASSED,
+        ResultCode.KEY_TABLE_FULL,
+        ResultCode.QUEUE_FULL,
+        ResultCode.WAIT_TOO_LONG,
+        ResultCode.DRAINING,
+        ResultCode.GRANT_LAPSED,
+        ResultCode.SHED,
+        ResultCode.NO_SITE,
+        ResultCode.NOT_READY,
+    }
+)
+"""Refusals after which the caller may come back."""
+
+RETRY_AFTER_JITTER = 0.5
+"""Largest random addition to a time to come back (fraction), against herds."""
+
+
+class RetryAfter:
+    """Times to come back, from the state of the pool's queue."""
+
+    def __init__(self, *, settings: DispatchSettings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+
+    def without_work(self, code: ResultCode) -> float | None:
+        """Return the time in seconds for an arrival that never became work."""
+        return self.settings.retry_after_s if code in RETRY_AFTER_CODES else None
+
+    def for_work(
+        self, work: Work, code: ResultCode, queue: PoolQueue, running: int
+    ) -> float | None:
+        """Return the time in seconds for work that is given up, None for never.
+
+        A key whose outcome is unknown stays so, but an idempotent request
+        may simply be repeated.
+        """
+        unknown = outcome_of(code) is Outcome.UNKNOWN
+        if unknown and not work.request_class.idempotent:
+            return None
+        if not unknown and code not in RETRY_AFTER_CODES:
+            return None
+        if running == 0:
+            wait_s = self.settings.retry_after_s
+        else:
+            wait_s = queue.estimated_wait(len(queue), running)
+        wait_s *= 1 + RETRY_AFTER_JITTER * self.rng.random()
+        return min(wait_s, self.settings.max_retry_after_s)
--- /dev/null
+++ b/knapweeddock/verdicts.py
@@ -0,0 +1,76 @@
+"""What the end of an attempt proves about its work."""
+
+from dataclasses import dataclass
+
+from knapweeddock.attempts import Attempt
+from knapweeddock.codes import Outcome, ResultCode, outcome_of
+from knapweeddock.events import AttemptEnded, AttemptOutcome
+from knapweeddock.grants import Loan, SlotOutcome
+
+SLOT_OUTCOMES = {
+    AttemptOutcome.ANSWERED: SlotOutcome.ANSWERED,
+    AttemptOutcome.REFUSED: SlotOutcome.FAILED,
+    AttemptOutcome.SHED: SlotOutcome.SHED,
+    AttemptOutcome.LOST: SlotOutcome.FAILED,
+    AttemptOutcome.INCOMPLETE: SlotOutcome.FAILED,
+    AttemptOutcome.TIMED_OUT: SlotOutcome.FAILED,
+}
+
+NOT_STARTED = frozenset({AttemptOutcome.REFUSED, AttemptOutcome.SHED})
+"""Ends of an attempt that prove that the server did not start the request."""
+
+GRANT_ENDED = frozenset({ResultCode.GRANT_LAPSED, ResultCode.DRAINING})
+"""Refusals of a lender that concern its grant and not the one request."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """What a failed attempt means.
+
+    Attributes:
+        code: Result if the work is given up now.
+        not_run: Whether the attempt provably did not run the work.
+        retriable: Whether another attempt is safe.
+        grant_ended: Whether the lender no longer honours the grant.
+    """
+
+    code: ResultCode
+    not_run: bool
+    retriable: bool
+    grant_ended: bool
+
+
+def judge(attempt: Attempt, event: AttemptEnded) -> Verdict:
+    """Return what the end of an unanswered attempt means for its work.
+
+    A code with an unknown outcome outweighs a refusal: a lender may have
+    tried a server before it refused.
+    """
+    borrowed = isinstance(attempt.holder, Loan)
+    claims_unknown = event.code is not None and outcome_of(event.code) is Outcome.UNKNOWN
+    not_run = event.outcome in NOT_STARTED and not claims_unknown and not attempt.committed
+    repeatable = attempt.work.request_class.idempotent and not attempt.committed
+    timed_out = event.outcome is AttemptOutcome.TIMED_OUT
+    lender_gone = event.outcome is AttemptOutcome.REFUSED
+    return Verdict(
+        code=_refusal_code(event) if not_run else _unknown_code(event, borrowed),
+        not_run=not_run,
+        retriable=not_run or (repeatable and not timed_out),
+        grant_ended=borrowed and not_run and (lender_gone or event.code in GRANT_ENDED),
+    )
+
+
+def _refusal_code(event: AttemptEnded) -> ResultCode:
+    return event.code or ResultCode.SHED
+
+
+def _unknown_code(event: AttemptEnded, borrowed: bool) -> ResultCode:
+    if event.code is not None and outcome_of(event.code) is Outcome.UNKNOWN:
+        return event.code
+    match event.outcome:
+        case AttemptOutcome.INCOMPLETE:
+            return ResultCode.INCOMPLETE_ANSWER
+        case AttemptOutcome.TIMED_OUT:
+            return ResultCode.DEADLINE_DURING_RUN
+        case _:
+            return ResultCode.ENTRY_LOST if borrowed else ResultCode.SERVER_LOST
