Test the request decisions one event at a time

The tests name the failure that each one guards against. They showed that the retry-after of a server that shed a request was lost when the retry found no other server; work now remembers it.

--- a/knapweeddock/attempts.py
+++ b/knapweeddock/attempts.py
@@ -30,6 +30,7 @@
         refusal_code: Result when no retry is possible after a refusal.
         unknown_code: Set when an earlier attempt may have run; no later
             result may then claim that the work was not run.
+        retry_after_s: When the last server or lender wants to be asked again.
     """
 
     request: RequestId
@@ -46,6 +47,7 @@
     late_code: ResultCode = ResultCode.DEADLINE_PASSED
     refusal_code: ResultCode | None = None
     unknown_code: ResultCode | None = None
+    retry_after_s: float | None = None
 
     @property
     def pool(self) -> PoolId:
--- a/knapweeddock/dispatcher.py
+++ b/knapweeddock/dispatcher.py
@@ -281,12 +281,13 @@
             work.unknown_code = verdict.code
         elif not verdict.grant_ended:
             work.refusal_code = verdict.code
-        if not verdict.retriable or work.start_by <= now:
-            self._give_up(work, verdict.code, retry_after_s=event.retry_after_s)
-        elif verdict.grant_ended or self._may_retry(work, now):
+            work.retry_after_s = event.retry_after_s
+        free_retry = verdict.grant_ended
+        allowed = verdict.retriable and work.start_by > now
+        if allowed and (free_retry or self._may_retry(work, now)):
             self._retry(work, now)
         else:
-            self._give_up(work, verdict.code, retry_after_s=event.retry_after_s)
+            self._give_up(work, verdict.code)
 
     def _may_retry(self, work: Work, now: float) -> bool:
         if work.attempts >= self.settings.max_attempts:
@@ -305,7 +306,7 @@
             work.start_by = min(work.start_by, now + self.settings.retry_wait_s)
         queue.push(work)
 
-    def _give_up(self, work: Work, code: ResultCode, *, retry_after_s: float | None = None) -> None:
+    def _give_up(self, work: Work, code: ResultCode) -> None:
         """Answer everyone who waits for work that is not attempted again."""
         queue = self._queue(work)
         queue.remove(work)
@@ -315,9 +316,8 @@
             self.keys.lose(work.key, code)
         elif work.key is not None:
             self.keys.burn(work.key)
-        if retry_after_s is None:
-            running = self.attempts.running_in(work.pool)
-            retry_after_s = self.retry_after.for_work(work, code, queue, running)
+        running = self.attempts.running_in(work.pool)
+        retry_after_s = self.retry_after.for_work(work, code, queue, running)
         for request in self.callers.take(work):
             self._reply(request, code, retry_after_s=retry_after_s)
 
--- a/knapweeddock/retryafter.py
+++ b/knapweeddock/retryafter.py
@@ -50,6 +50,8 @@
             return None
         if not unknown and code not in RETRY_AFTER_CODES:
             return None
+        if work.retry_after_s is not None:
+            return min(work.retry_after_s, self.settings.max_retry_after_s)
         if running == 0:
             wait_s = self.settings.retry_after_s
         else:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,10 +1,37 @@
 """The dispatcher's pipeline, one event at a time."""
 
-from knapweeddock.events import Deliver, ForgetAnswer, SendToServer, Tick
+import pytest
 
-from .dispatching import Rig
+from knapweeddock.codes import ResultCode
+from knapweeddock.dispatchsettings import BudgetLimits, DispatchSettings
+from knapweeddock.events import (
+    AttemptCommitted,
+    AttemptOutcome,
+    Borrow,
+    BorrowEnded,
+    CallerGone,
+    CancelAttempt,
+    Deliver,
+    DrainStarted,
+    ForgetAnswer,
+    GrantUse,
+    Reply,
+    SendToEntry,
+    SendToServer,
+    Tick,
+)
+from knapweeddock.grants import Grant, Refusal
+from knapweeddock.idempotency import KeyState
+from knapweeddock.memorycapacity import make_slots
 
-TICK = Tick()
+from .dispatching import OWN, POOL, Rig, make_lender, make_loan
+
+REFUSED, SHED, LOST = AttemptOutcome.REFUSED, AttemptOutcome.SHED, AttemptOutcome.LOST
+INCOMPLETE, TIMED_OUT = AttemptOutcome.INCOMPLETE, AttemptOutcome.TIMED_OUT
+
+
+def codes(actions) -> list[tuple[str, ResultCode]]:
+    return [(reply.request, reply.code) for reply in actions if isinstance(reply, Reply)]
 
 
 def test_idempotent_request_is_sent_and_delivered():
@@ -30,4 +57,214 @@
     ]
     assert rig.book() == [Deliver(request="r3", attempt=send.attempt)]
     rig.clock.advance(30)
-    assert rig.handle(TICK) == [ForgetAnswer(attempt=send.attempt)]
+    assert rig.handle(Tick()) == [ForgetAnswer(attempt=send.attempt)]
+
+
+def test_an_answer_that_is_too_large_is_released_and_named():
+    rig = Rig()
+    [send] = rig.book()
+    actions = rig.end(send.attempt, answer_bytes=70_000)
+    assert actions[-1] == ForgetAnswer(attempt=send.attempt)
+    assert codes(rig.book()) == [("r2", ResultCode.ANSWER_NOT_KEPT)]
+
+
+@pytest.mark.parametrize("outcome", [REFUSED, SHED])
+def test_booking_moves_to_another_server_only_on_proof(outcome):
+    """Guards against a booking that is refused although it provably did not start."""
+    rig = Rig()
+    [first] = rig.book()
+    [second] = rig.end(first.attempt, outcome)
+    assert second.slot.server != first.slot.server
+    [reply] = rig.end(second.attempt, outcome, retry_after_s=2.5)
+    assert (reply.code, reply.retry_after_s) == (ResultCode.SHED, 2.5)
+    assert codes(rig.book()) == [("r2", ResultCode.KEY_BURNED)]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "own", "borrowed"),
+    [
+        (LOST, ResultCode.SERVER_LOST, ResultCode.ENTRY_LOST),
+        (INCOMPLETE, ResultCode.INCOMPLETE_ANSWER, ResultCode.INCOMPLETE_ANSWER),
+        (TIMED_OUT, ResultCode.DEADLINE_DURING_RUN, ResultCode.DEADLINE_DURING_RUN),
+    ],
+)
+def test_booking_without_proof_ends_as_unknown(outcome, own, borrowed):
+    """Guards against a doubled charge and against "not run" for work that may have run."""
+    through_entry = Rig(servers=0)
+    through_entry.capacity.add_loan(POOL, make_loan(), 2)
+    for rig, code in ((Rig(), own), (through_entry, borrowed)):
+        [send] = rig.book()
+        [reply] = rig.end(send.attempt, outcome)
+        assert (reply.code, reply.retry_after_s) == (code, None)
+        assert codes(rig.book()) == [("r2", code)]
+        assert rig.dispatcher.outcome_query(rig.key(), 0.0).state is KeyState.UNKNOWN
+        assert rig.capacity.held_count == 0
+
+
+def test_a_lenders_unknown_outcome_outweighs_its_refusal():
+    rig = Rig(servers=0)
+    rig.capacity.add_loan(POOL, make_loan(), 2)
+    [send] = rig.book()
+    assert isinstance(send, SendToEntry)
+    [reply] = rig.end(send.attempt, SHED, code=ResultCode.SERVER_LOST)
+    assert reply.code is ResultCode.SERVER_LOST
+
+
+def test_lost_idempotent_request_is_retried_within_the_budget():
+    """Guards against a retry storm, and "not run" after an attempt that may have run."""
+    settings = DispatchSettings(retries=BudgetLimits(floor_per_s=1.0))
+    rig = Rig(servers=3, settings=settings)
+    [first] = rig.arrive()
+    [second] = rig.end(first.attempt, LOST)
+    assert second.slot.server != first.slot.server
+    [reply] = rig.end(second.attempt, SHED)
+    assert reply.code is ResultCode.SERVER_LOST
+    assert reply.retry_after_s > 0
+
+
+def test_no_retry_after_a_part_of_the_answer_was_passed_on():
+    """Guards against an answer that is put together from two attempts."""
+    rig = Rig()
+    [send] = rig.arrive()
+    rig.handle(AttemptCommitted(attempt=send.attempt))
+    assert codes(rig.end(send.attempt, INCOMPLETE)) == [("r1", ResultCode.INCOMPLETE_ANSWER)]
+
+
+def test_waiting_requests_start_in_order_of_priority():
+    rig = Rig(servers=1)
+    [running] = rig.arrive()
+    assert rig.arrive() == rig.book() == []
+    actions = rig.end(running.attempt)
+    assert [a.request for a in actions] == ["r1", "r3"]
+    [_, last] = rig.end(actions[1].attempt)
+    assert last.request == "r2"
+
+
+def test_a_hopeless_wait_is_refused_at_once():
+    """Guards against requests that are held until near their deadline."""
+    rig = Rig(servers=1)
+    rig.arrive()
+    [reply] = rig.arrive(budget_s=0.03)
+    assert reply.code is ResultCode.WAIT_TOO_LONG
+    assert 0 < reply.retry_after_s < 1
+    without_slots = Rig(servers=0)
+    assert codes(without_slots.arrive()) == [("r1", ResultCode.WAIT_TOO_LONG)]
+
+
+def test_waiting_requests_are_given_up_when_the_estimate_grows():
+    rig = Rig(servers=1)
+    [running] = rig.arrive()
+    rig.book("k", budget_s=0.2)
+    rig.clock.advance(0.17)
+    assert codes(rig.handle(Tick())) == [("r2", ResultCode.WAIT_TOO_LONG)]
+    assert codes(rig.book()) == [("r3", ResultCode.KEY_BURNED)]
+    assert rig.end(running.attempt) == [Deliver(request="r1", attempt=running.attempt)]
+
+
+def test_a_queued_booking_is_not_started_after_its_time():
+    rig = Rig(servers=1)
+    [running] = rig.arrive()
+    assert rig.book(key=rig.key(life=1.0)) == []
+    rig.clock.advance(1.0)
+    assert codes(rig.end(running.attempt)) == [("r2", ResultCode.KEY_EXPIRED)]
+    assert rig.capacity.held_count == 0
+
+
+def test_lenders_are_asked_once_each_and_grants_start_waiting_requests():
+    """Guards against a flood of calls to lenders, and a grant that nobody uses."""
+    rig = Rig(servers=0, settings=DispatchSettings(max_borrow_calls=2, max_borrow_count=1))
+    rig.capacity.candidates[POOL] = [make_lender(f"vm-{name}") for name in "bcd"]
+    [one], [two], three = rig.arrive(), rig.arrive(), rig.arrive()
+    assert isinstance(one, Borrow)
+    assert (one.lender.vm, two.lender.vm, three) == ("vm-b", "vm-c", [])
+    refusal = Refusal(code=ResultCode.SHED, retry_after_s=9.0)
+    refused = BorrowEnded(lender="vm-b", site="ledger-b", asked_at=0.0, result=refusal)
+    [third] = rig.handle(refused)
+    assert third.lender.vm == "vm-d"
+    grant = Grant(
+        grant="g",
+        lender="vm-c",
+        incarnation="inc-c",
+        site="ledger-c",
+        count=2,
+        term_s=2.0,
+        internal_address="127.0.0.1:7000",
+    )
+    ended = BorrowEnded(lender="vm-c", site="ledger-c", asked_at=0.0, result=grant)
+    sends = [a for a in rig.handle(ended) if isinstance(a, SendToEntry)]
+    assert [send.request for send in sends] == ["r1", "r2"]
+
+
+def test_waiting_requests_are_answered_when_the_last_lender_refuses():
+    rig = Rig(servers=0)
+    rig.capacity.candidates[POOL] = [make_lender()]
+    rig.arrive()
+    ended = BorrowEnded(lender="vm-b", site="ledger-b", asked_at=0.0, result=None)
+    assert codes(rig.handle(ended)) == [("r1", ResultCode.WAIT_TOO_LONG)]
+
+
+def test_a_lapsed_grant_is_dropped_and_costs_no_retry():
+    """Guards against sending every request of a queue into the same stale grant."""
+    settings = DispatchSettings(retries=BudgetLimits(floor_per_s=0.0))
+    rig = Rig(servers=0, settings=settings)
+    rig.capacity.add_loan(POOL, make_loan("g2"), 1)
+    rig.capacity.add_loan(POOL, make_loan("g1"), 5)
+    [send] = rig.book()
+    [again] = rig.end(send.attempt, SHED, code=ResultCode.GRANT_LAPSED)
+    assert (send.loan.grant, again.loan.grant) == ("g1", "g2")
+    assert rig.capacity.loans[POOL] == []
+
+
+def test_a_request_under_a_grant_runs_at_once_or_is_refused():
+    """Guards against loops of entries that pass a request on, and queues at a lender."""
+    rig = Rig(servers=1)
+    rig.capacity.add_grant("g", make_slots("lent", servers=1, slots_per_server=1))
+    use = GrantUse(grant="g", incarnation=OWN, site="lent")
+    [send] = rig.book(key=rig.key(own="borrower"), grant=use)
+    assert send.slot.site == "lent"
+    assert codes(rig.arrive(grant=use)) == [("r2", ResultCode.SHED)]
+    stale = GrantUse(grant="g", incarnation="older", site="lent")
+    assert codes(rig.arrive(grant=stale)) == [("r3", ResultCode.GRANT_LAPSED)]
+    rig.handle(CallerGone(request="r1"))
+    assert rig.capacity.held_count == 1
+    assert rig.end(send.attempt) == [ForgetAnswer(attempt=send.attempt)]
+
+
+def test_caller_gone_cancels_idempotent_requests_only():
+    """Guards against a cancelled booking whose re-send would then run a second time."""
+    rig = Rig()
+    [look], [book] = rig.arrive(), rig.book()
+    gone = [CallerGone(request="r1"), CallerGone(request="r2")]
+    assert rig.handle(gone[0]) == [CancelAttempt(attempt=look.attempt)]
+    assert rig.handle(gone[1]) == []
+    assert rig.capacity.held_count == 1
+    assert rig.end(look.attempt) == []
+    rig.book()
+    assert rig.end(book.attempt) == [Deliver(request="r3", attempt=book.attempt)]
+
+
+def test_a_known_key_is_answered_before_anything_can_refuse_it():
+    """Guards against "not run" from a later check while the work of the key runs."""
+    rig = Rig()
+    [send] = rig.book()
+    rig.handle(DrainStarted())
+    rig.dispatcher.admission.classifier.routes.clear()
+    assert codes(rig.book(budget_s=0.0)) == [("r2", ResultCode.DEADLINE_DURING_RUN)]
+    assert rig.book(budget_s=0.5) == []
+    rig.clock.advance(0.5)
+    assert codes(rig.handle(Tick())) == [("r3", ResultCode.DEADLINE_DURING_RUN)]
+    [reply] = rig.book(key=rig.key(own="inc-z"))
+    assert (reply.code, reply.ask) == (ResultCode.OTHER_INCARNATION, "inc-z")
+    assert rig.end(send.attempt) == [Deliver(request="r1", attempt=send.attempt)]
+
+
+def test_refusals_before_the_queue_name_their_code():
+    rig = Rig()
+    assert codes(rig.arrive(method="POST", path="/book"))[0][1] is ResultCode.KEY_MISSING
+    assert codes(rig.arrive(method="PUT"))[0][1] is ResultCode.UNKNOWN_CLASS
+    assert codes(rig.book("late", budget_s=0.0))[0][1] is ResultCode.DEADLINE_PASSED
+    assert codes(rig.book("late"))[0][1] is ResultCode.KEY_BURNED
+    rig.capacity.pools.clear()
+    assert codes(rig.arrive())[0][1] is ResultCode.NO_SITE
+    rig.handle(DrainStarted())
+    assert codes(rig.book("new"))[0][1] is ResultCode.DRAINING
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,73 @@
+"""The queue of a pool: guards against work that overtakes and waits without hope."""
+
+from knapweeddock.attempts import Work
+from knapweeddock.codes import ResultCode
+from knapweeddock.ids import PoolId, RequestId, ServiceId
+from knapweeddock.model import RequestClass
+from knapweeddock.queueing import PoolQueue
+
+
+def make_work(name="w", *, priority=0, deadline=10.0, service_time_ms=100.0, start_by=None) -> Work:
+    request_class = RequestClass(
+        methods=["GET"],
+        path_prefix="/",
+        idempotent=True,
+        pool=PoolId("p"),
+        priority=priority,
+        service_time_ms=service_time_ms,
+    )
+    return Work(
+        request=RequestId(name),
+        service=ServiceId("s"),
+        request_class=request_class,
+        deadline=deadline,
+        start_by=deadline if start_by is None else start_by,
+    )
+
+
+def make_queue(*works: Work, limit=10, service_time_s=0.1) -> PoolQueue:
+    queue = PoolQueue(limit=limit, service_time_s=service_time_s)
+    for work in works:
+        queue.push(work)
+    return queue
+
+
+def test_order_is_priority_then_deadline_then_arrival():
+    late = make_work("late", deadline=9.0)
+    bulk = make_work("bulk", priority=3, deadline=1.0)
+    first = make_work("first", deadline=5.0)
+    second = make_work("second", deadline=5.0)
+    queue = make_queue(late, bulk, first, second)
+    assert [work.request for work in queue] == ["first", "second", "late", "bulk"]
+    assert queue.position(make_work(deadline=5.0)) == 2
+
+
+def test_removal_takes_out_the_work_itself_and_not_an_equal_one():
+    first, second = make_work("first"), make_work("second")
+    queue = make_queue(first, second)
+    assert queue.remove(second)
+    assert not queue.remove(second)
+    assert list(queue) == [first]
+
+
+def test_a_wait_that_does_not_fit_is_refused_at_once():
+    """Ten waiting at 0.1 s on two slots take 0.55 s for the next one."""
+    queue = make_queue(*(make_work(deadline=10.5) for _ in range(10)), limit=11)
+    late = make_work(deadline=10.0 + 0.55 + 0.09)
+    assert queue.refusal(late, running=2, now=10.0) is ResultCode.WAIT_TOO_LONG
+    fits = make_work(deadline=10.0 + 0.55 + 0.11)
+    assert queue.refusal(fits, running=2, now=10.0) is None
+    expiring = make_work(deadline=20.0, start_by=10.5)
+    assert queue.refusal(expiring, running=2, now=10.0) is ResultCode.WAIT_TOO_LONG
+
+
+def test_a_full_queue_refuses():
+    queue = make_queue(make_work(), limit=1)
+    assert queue.refusal(make_work(), running=1, now=0.0) is ResultCode.QUEUE_FULL
+
+
+def test_slow_answers_raise_the_estimate():
+    queue = make_queue()
+    for _ in range(100):
+        queue.observe(0.4)
+    assert 0.39 < queue.estimated_wait(0, 1) <= 0.4
