--- /dev/null
+++ b/knapweeddock/health.py
@@ -0,0 +1,190 @@
+"""What this entry knows of each backend server: failures, warm-up, leaving, load."""
+
+import random
+from collections.abc import Iterable
+
+from knapweeddock.grants import ServerHealth, ServerReport, SlotOutcome
+from knapweeddock.ids import ServerId
+
+FAILURES_IN_A_ROW = 3
+BACKOFF_START_S = 1.0
+BACKOFF_MAX_S = 30.0
+BACKOFF_JITTER = 0.2
+"""Largest part of a backoff that is added to it at random."""
+
+WARMUP_STEP_S = 2.0
+STARTUP_TERM_S = 10.0
+"""Time after process start in which a first ``ok`` opens a server fully."""
+
+LEAVING_HOLD_S = 10.0
+"""Time for which a sign of leaving outweighs an ``ok``: health endpoints lag."""
+
+REPORT_LIFE_S = 5.0
+"""Age at which a reported load has lost its weight."""
+
+ALL_SLOTS = 1 << 30
+
+
+class ServerRecord:
+    """State of one backend server.
+
+    Attributes:
+        opened: Slots with an index below this may be used.
+        next_open_at: When one more slot opens; None while none will.
+        failures: Failures in a row.
+        retry_at: When a trial request may be sent; None when not set aside.
+        trial: Whether the trial request is running.
+        left_at: Last sign from the server itself that it is leaving.
+        listed_leaving: Whether configuration or VM list name it as leaving.
+        in_flight: Requests that it reported.
+        measured_at: Time of that report.
+    """
+
+    __slots__ = (
+        "backoff",
+        "failures",
+        "in_flight",
+        "left_at",
+        "listed_leaving",
+        "measured_at",
+        "next_open_at",
+        "opened",
+        "retry_at",
+        "seen",
+        "trial",
+    )
+
+    def __init__(self) -> None:
+        self.opened = 1
+        self.next_open_at: float | None = None
+        self.failures = 0
+        self.backoff = BACKOFF_START_S
+        self.retry_at: float | None = None
+        self.trial = False
+        self.left_at: float | None = None
+        self.listed_leaving = False
+        self.in_flight = 0
+        self.measured_at = float("-inf")
+        self.seen = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any sign says that the server is leaving."""
+        return self.listed_leaving or self.left_at is not None
+
+    def open_slots(self, now: float) -> int:
+        """Return the number of open slots, opening those that are due."""
+        due = self.next_open_at
+        if due is None or now < due:
+            return self.opened
+        steps = int((now - due) / WARMUP_STEP_S) + 1
+        self.opened += steps
+        self.next_open_at = due + steps * WARMUP_STEP_S
+        return self.opened
+
+    def is_set_aside(self, now: float) -> bool:
+        """Whether the server gets no request now because it failed."""
+        return self.retry_at is not None and (self.trial or now < self.retry_at)
+
+    def reported_load(self, now: float) -> float:
+        """Return the reported requests, discounted by the age of the report."""
+        weight = 1.0 - (now - self.measured_at) / REPORT_LIFE_S
+        return self.in_flight * weight if weight > 0 else 0.0
+
+    def warm_from(self, now: float) -> None:
+        """Start again with one slot, then one more every step."""
+        self.opened = 1
+        self.next_open_at = now + WARMUP_STEP_S
+
+
+class HealthBook:
+    """Health of all servers that this entry may use.
+
+    Attributes:
+        records: State by server.
+    """
+
+    def __init__(self, *, rng: random.Random, now: float) -> None:
+        self.rng = rng
+        self.started_at = now
+        self.records: dict[ServerId, ServerRecord] = {}
+
+    def configure(self, servers: Iterable[ServerId], leaving: frozenset[ServerId]) -> None:
+        """Take the servers of the configuration and those that are leaving."""
+        names = set(servers)
+        for name in names - self.records.keys():
+            self.records[name] = ServerRecord()
+        for name in self.records.keys() - names:
+            del self.records[name]
+        for name, record in self.records.items():
+            record.listed_leaving = name in leaving
+
+    def observe(self, report: ServerReport, now: float) -> None:
+        """Take a measurement; one that is older than the last is ignored."""
+        record = self.records.get(report.server)
+        if record is None or report.measured_at < record.measured_at:
+            return
+        record.measured_at = report.measured_at
+        if report.in_flight is not None:
+            record.in_flight = report.in_flight
+        match report.health:
+            case ServerHealth.OK:
+                self._seen_ok(record, now)
+            case ServerHealth.COLD:
+                record.seen = True
+                record.opened = 1
+                record.next_open_at = None
+            case ServerHealth.DRAINING:
+                record.left_at = now
+            case ServerHealth.UNREACHABLE:
+                self._failed(record, now)
+
+    def _seen_ok(self, record: ServerRecord, now: float) -> None:
+        if record.left_at is not None:
+            if now - record.left_at < LEAVING_HOLD_S:
+                return
+            record.left_at = None
+            record.warm_from(now)
+        elif not record.seen and now - self.started_at <= STARTUP_TERM_S:
+            record.opened = ALL_SLOTS
+        elif record.next_open_at is None and record.opened < ALL_SLOTS:
+            record.warm_from(now)
+        record.seen = True
+
+    def started(self, server: ServerId) -> None:
+        """Note that a request is sent to ``server``."""
+        record = self.records.get(server)
+        if record is not None and record.retry_at is not None:
+            record.trial = True
+
+    def ended(self, server: ServerId, outcome: SlotOutcome, now: float) -> None:
+        """Note how a request to ``server`` ended."""
+        record = self.records.get(server)
+        if record is None:
+            return
+        match outcome:
+            case SlotOutcome.ANSWERED:
+                self._answered(record, now)
+            case SlotOutcome.FAILED:
+                record.trial = False
+                self._failed(record, now)
+            case SlotOutcome.SHED | SlotOutcome.UNUSED:
+                record.trial = False
+
+    def _answered(self, record: ServerRecord, now: float) -> None:
+        record.failures = 0
+        record.trial = False
+        if record.retry_at is not None:
+            record.retry_at = None
+            record.backoff = BACKOFF_START_S
+            record.warm_from(now)
+
+    def _failed(self, record: ServerRecord, now: float) -> None:
+        record.failures += 1
+        if record.failures < FAILURES_IN_A_ROW:
+            return
+        if record.retry_at is not None and now < record.retry_at:
+            return
+        jitter = 1 + BACKOFF_JITTER * self.rng.random()
+        record.retry_at = now + record.backoff * jitter
+        record.backoff = min(record.backoff * 2, BACKOFF_MAX_S)
--- /dev/null
+++ b/knapweeddock/rendezvous.py
@@ -0,0 +1,73 @@
+"""Rendezvous hashing: the same choice on every VM without any exchange.
+
+Hashes are xxh64 of a UTF-8 string whose parts are joined by a zero byte; ties
+go to the smaller id.
+"""
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TypeVar
+
+import xxhash
+
+SEPARATOR = "\0"
+HASH_RANGE = 2.0**64
+
+Node = TypeVar("Node", bound=str)
+
+
+def hash_parts(*parts: str) -> int:
+    """Return the 64-bit hash of ``parts``."""
+    return xxhash.xxh64_intdigest(SEPARATOR.join(parts).encode())
+
+
+def hex_of(parts: Iterable[str]) -> str:
+    """Return the hash of ``parts`` as 16 hexadecimal digits."""
+    return xxhash.xxh64_hexdigest(SEPARATOR.join(parts).encode())
+
+
+def weighted_order(key: str, weights: Mapping[Node, float]) -> list[Node]:
+    """Order nodes by weighted rendezvous hashing, the best one first.
+
+    A node comes first for a part of all keys that is proportional to its
+    weight, and a change of one weight moves only keys from or to that node.
+
+    Args:
+        key: What is placed.
+        weights: Positive weight of each node.
+    """
+    scored = []
+    for node, weight in weights.items():
+        unit = (hash_parts(key, node) + 0.5) / HASH_RANGE
+        scored.append((math.log(unit) / weight, node))
+    scored.sort(key=lambda pair: (-pair[0], pair[1]))
+    return [node for _, node in scored]
+
+
+def assign_bounded(keys: Sequence[str], nodes: Iterable[Node]) -> list[Node]:
+    """Assign each key to the node with the highest hash that still has room.
+
+    Args:
+        keys: Keys in the order in which they are assigned.
+        nodes: Nodes of equal weight; each gets at most
+            ``ceil(len(keys) / len(nodes))`` keys.
+
+    Returns:
+        The node of each key, in the order of ``keys``; empty without nodes.
+    """
+    names = sorted(nodes)
+    if not names:
+        return []
+    room = dict.fromkeys(names, -(-len(keys) // len(names)))
+    digest = xxhash.xxh64_intdigest
+    encoded = [(name, name.encode()) for name in names]
+    owners = []
+    for key in keys:
+        prefix = (key + SEPARATOR).encode()
+        _, best = max((digest(prefix + raw), -place) for place, (_, raw) in enumerate(encoded))
+        name = encoded[-best][0]
+        owners.append(name)
+        room[name] -= 1
+        if room[name] == 0:
+            del encoded[-best]
+    return owners
