--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -301,6 +301,10 @@
             if local.handover.report.view
         }
 
+    def is_idle(self) -> bool:
+        """Whether no slot is in use or under a grant, so that the entry may stop."""
+        return not self.ledger.holds
+
     def load(self) -> float:
         """Return the busy fraction of the own usable slots; 1 without any."""
         usable = 0
--- /dev/null
+++ b/tests/test_capacity_fuzz.py
@@ -0,0 +1,443 @@
+"""Several SlotCapacity instances against an oracle that only counts.
+
+Guards against two entries using one slot, and against sites, shifts or links
+above their caps, while configurations and member records arrive late and in
+different order, entries are killed, paused and replaced, grants are delayed or
+lost, and clocks run at different rates. Silence is never turned into evidence:
+only an entry that was really killed is marked as down.
+"""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from knapweeddock.grants import BorrowRequest, Grant, Loan, ServerHealth, ServerReport, Slot
+from knapweeddock.grants import SlotOutcome as Outcome
+from knapweeddock.model import BackendServer, Config, Drains, Link, Region, Site
+from knapweeddock.slotcapacity import SlotCapacity
+from knapweeddock.state import Member, MemberState, NodeState
+
+DOMAINS = {"v1": "a1", "v2": "a1", "v3": "a1", "v4": "a2", "v5": "a2", "v6": "b1"}
+REGIONS = {"A": Region(failure_domains=["a1", "a2"]), "B": Region(failure_domains=["b1"])}
+REGION_OF = {"a1": "A", "a2": "A", "b1": "B"}
+SERVERS = {"sa1": ["m1", "m2", "m3"], "sa2": ["m4", "m5"], "sb1": ["m6", "m7", "m8"]}
+SITE_DOMAIN = {"sa1": "a1", "sa2": "a2", "sb1": "b1"}
+FIXED_CAP = 4
+"""Cap of the sites of region A. It does not change: the parts of a link cap
+follow the caps, and parts of sites in two domains cannot change at one time."""
+
+SERVER_NOTICE_S = 1.0
+"""Time until servers notice that an entry was killed and end its requests."""
+
+VMS = st.sampled_from(sorted(DOMAINS))
+RATES = st.sampled_from([0.99, 1.0, 1.01])
+PAUSES = st.sampled_from([0.01, 0.03, 0.2, 0.5, 1.0])
+
+
+def first_config() -> Config:
+    sites = {
+        name: Site(
+            pool="p",
+            failure_domain=SITE_DOMAIN[name],
+            servers={server: BackendServer(address=server, slots=2) for server in servers},
+            cap=FIXED_CAP,
+            shift_cap=3,
+            shift_start=1.0,
+        )
+        for name, servers in SERVERS.items()
+    }
+    links = {"A->B": Link(caps={"p": 2}), "B->A": Link(caps={"p": 3})}
+    return Config(regions=REGIONS, links=links, sites=sites)
+
+
+@dataclass
+class Use:
+    """One unit of capacity that somebody holds, as the oracle sees it."""
+
+    holder: str
+    site: str
+    origin: str
+    version: int
+    slot: Slot | None = None
+    loan: Loan | None = None
+    borrower: str | None = None
+    ends_at: float | None = None
+
+
+class Entry:
+    """One entry process with its own clock and its own, late, knowledge."""
+
+    def __init__(self, vm, incarnation, rate, time):
+        self.vm = vm
+        self.domain = DOMAINS[vm]
+        self.incarnation = incarnation
+        self.rate = rate
+        self.state = MemberState.JOINING
+        self.paused = False
+        self.known = {}
+        self.config = 0
+        self.capacity = SlotCapacity(
+            vm=vm,
+            incarnation=incarnation,
+            failure_domain=self.domain,
+            internal_address=vm,
+            now=self.now(time),
+            rng=random.Random(0),
+        )
+
+    def now(self, time):
+        return 500.0 + time * self.rate
+
+
+class CapacityMachine(RuleBasedStateMachine):
+    @initialize(rates=st.lists(RATES, min_size=len(DOMAINS), max_size=len(DOMAINS)))
+    def start(self, rates):
+        self.time = 0.0
+        self.number = 0
+        self.configs = [first_config()]
+        self.records = defaultdict(list)
+        self.entries = {}
+        self.uses = []
+        self.grant_versions = {}
+        self.requests = []
+        self.replies = []
+        self.rates = dict(zip(sorted(DOMAINS), rates, strict=True))
+        for vm in DOMAINS:
+            self.create(vm)
+        for entry in self.entries.values():
+            entry.state = MemberState.SERVING
+            self.publish(entry)
+        self.exchange(rounds=1)
+        for _ in range(5):
+            self.advance(dt=0.5)
+        self.exchange(rounds=3)
+
+    # What the machine does on behalf of agents, servers and the network.
+
+    def create(self, vm):
+        self.number += 1
+        entry = Entry(vm, f"i{self.number}", self.rates[vm], self.time)
+        entry.config = len(self.configs) - 1
+        self.entries[vm] = entry
+        self.publish(entry)
+
+    def publish(self, entry):
+        member = Member(
+            vm=entry.vm,
+            failure_domain=entry.domain,
+            incarnation=entry.incarnation,
+            state=entry.state,
+            public_address=entry.vm,
+            internal_address=entry.vm,
+            lending_address=entry.vm,
+            settled_views=entry.capacity.settled_views(),
+        )
+        self.records[entry.vm].append(member)
+        entry.known[entry.vm] = len(self.records[entry.vm]) - 1
+
+    def deliver(self, entry):
+        members = {vm: self.records[vm][version] for vm, version in entry.known.items()}
+        state = NodeState(
+            config_version=entry.config, config=self.configs[entry.config], members=members
+        )
+        now = entry.now(self.time)
+        entry.capacity.update(state, now)
+        for site in state.config.sites.values():
+            for server in site.servers:
+                if server not in entry.capacity.health.records:
+                    continue
+                report = ServerReport(
+                    server=server, health=ServerHealth.OK, in_flight=None, measured_at=now
+                )
+                entry.capacity.observe(report, now)
+
+    def running(self, vm):
+        entry = self.entries.get(vm)
+        return entry if entry is not None and not entry.paused else None
+
+    def peers(self, domain):
+        return [e for e in self.entries.values() if e.domain == domain]
+
+    # Time, members and configuration.
+
+    @rule(dt=PAUSES)
+    def advance(self, dt):
+        self.time += dt
+        self.uses = [use for use in self.uses if use.ends_at is None or use.ends_at > self.time]
+        for entry in self.entries.values():
+            if not entry.paused:
+                entry.capacity.tick(entry.now(self.time))
+
+    @rule(rounds=st.integers(1, 3))
+    def exchange(self, rounds):
+        for _ in range(rounds):
+            active = [entry for entry in self.entries.values() if not entry.paused]
+            for entry in active:
+                entry.capacity.tick(entry.now(self.time))
+                self.publish(entry)
+            for entry in active:
+                entry.config = len(self.configs) - 1
+                entry.known = {vm: len(history) - 1 for vm, history in self.records.items()}
+                self.deliver(entry)
+
+    @rule(vm=VMS, others=st.sets(VMS, max_size=4), config=st.booleans(), back=st.integers(0, 2))
+    def hear(self, vm, others, config, back):
+        entry = self.running(vm)
+        if entry is None:
+            return
+        self.publish(entry)
+        for other in others:
+            newest = max(0, len(self.records[other]) - 1 - back)
+            entry.known[other] = max(entry.known.get(other, 0), newest)
+        if config:
+            entry.config = max(entry.config, len(self.configs) - 1 - back)
+        self.deliver(entry)
+
+    @rule(vm=VMS)
+    def kill(self, vm):
+        if self.entries.pop(vm, None) is None:
+            return
+        for use in self.uses:
+            if use.holder == vm and use.ends_at is None:
+                use.ends_at = self.time + SERVER_NOTICE_S
+        self.requests = [request for request in self.requests if request[0] != vm]
+        self.replies = [reply for reply in self.replies if reply[0] != vm]
+
+    @rule(vm=VMS)
+    def find_gone(self, vm):
+        last = self.records[vm][-1]
+        if vm not in self.entries and not last.down and last.state is not MemberState.LEFT:
+            self.records[vm].append(replace(last, down=True))
+
+    @rule(vm=VMS, pick=st.integers(0, 5))
+    def restart(self, vm, pick):
+        if vm in self.entries:
+            return
+        peers = self.peers(DOMAINS[vm])
+        reachable = [peer for peer in peers if not peer.paused]
+        if peers and not reachable:
+            return  # An agent that reaches no living peer stays in state joining.
+        self.create(vm)
+        entry = self.entries[vm]
+        if reachable:
+            peer = reachable[pick % len(reachable)]
+            entry.known = {**peer.known, **entry.known}
+            entry.config = peer.config
+            peer.known[vm] = entry.known[vm]
+            self.deliver(peer)
+        else:
+            entry.known = {name: len(history) - 1 for name, history in self.records.items()}
+        entry.state = MemberState.SERVING
+        self.publish(entry)
+        self.deliver(entry)
+
+    @rule(vm=VMS)
+    def leave(self, vm):
+        entry = self.running(vm)
+        if entry is None:
+            return
+        if entry.state is MemberState.SERVING:
+            entry.state = MemberState.LEAVING
+        elif entry.capacity.is_idle():
+            entry.state = MemberState.LEFT
+            del self.entries[vm]
+        self.publish(entry)
+        if entry.state is MemberState.LEAVING:
+            self.deliver(entry)
+
+    @rule(vm=VMS)
+    def pause(self, vm):
+        if vm in self.entries:
+            self.entries[vm].paused = True
+
+    @rule(vm=VMS, acquire_first=st.booleans())
+    def resume(self, vm, acquire_first):
+        entry = self.entries.get(vm)
+        if entry is not None and entry.paused:
+            entry.paused = False
+            if acquire_first:
+                self.acquire(vm, 2)
+
+    @rule(site=st.sampled_from(sorted(SERVERS)), choice=st.integers(0, 5), value=st.integers(1, 4))
+    def configure(self, site, choice, value):
+        config = self.configs[-1]
+        old = config.sites[site]
+        server = SERVERS[site][value % len(SERVERS[site])]
+        match choice:
+            case 0:
+                servers = dict(old.servers)
+                if servers.pop(server, None) is None:
+                    servers[server] = BackendServer(address=server, slots=2)
+                new = replace(old, servers=servers) if len(servers) > 1 else old
+            case 1:
+                changed = BackendServer(address=server, slots=2 + value % 2)
+                new = replace(old, servers={**old.servers, server: changed})
+            case 2:
+                new = replace(old, shift_cap=value)
+            case 3:
+                new = replace(old, cap=value) if site == "sb1" else old
+            case 4:
+                links = {"A->B": Link(caps={"p": value}), "B->A": Link(caps={"p": 1 + value % 3})}
+                self.configs.append(replace(config, links=links))
+                return
+            case _:
+                drains = Drains(sites={site: value == 1}, servers={server: value == 2})
+                self.configs.append(replace(config, drains=drains))
+                return
+        self.configs.append(replace(config, sites={**config.sites, site: new}))
+
+    # Work.
+
+    @rule(vm=VMS, count=st.integers(1, 4))
+    def acquire(self, vm, count):
+        entry = self.running(vm)
+        if entry is None:
+            return
+        for _ in range(count):
+            slot = entry.capacity.acquire("p", entry.now(self.time))
+            if slot is not None:
+                use = Use(vm, slot.site, entry.domain, entry.config, slot)
+                self.uses.append(use)
+                self.check()
+
+    @rule(pick=st.integers(0, 50), outcome=st.sampled_from(Outcome))
+    def finish(self, pick, outcome):
+        open_uses = [u for u in self.uses if u.ends_at is None and self.running(u.holder)]
+        if not open_uses:
+            return
+        use = open_uses[pick % len(open_uses)]
+        self.uses.remove(use)
+        entry = self.entries[use.holder]
+        entry.capacity.release(use.slot, outcome, entry.now(self.time))
+        if use.loan is not None and self.running(use.borrower):
+            borrower = self.entries[use.borrower]
+            borrower.capacity.release_loan(use.loan, borrower.now(self.time))
+
+    @rule(vm=VMS, pick=st.integers(0, 5), wanted=st.integers(1, 3))
+    def ask(self, vm, pick, wanted):
+        entry = self.running(vm)
+        lenders = entry.capacity.lenders("p", entry.now(self.time)) if entry else []
+        if lenders:
+            lender = lenders[pick % len(lenders)]
+            request = BorrowRequest(
+                borrower=vm,
+                failure_domain=entry.domain,
+                incarnation=entry.incarnation,
+                site=lender.site,
+                wanted=wanted,
+            )
+            self.requests.append((vm, lender.vm, request, entry.now(self.time)))
+
+    @rule(lost=st.booleans())
+    def decide(self, lost):
+        if not self.requests:
+            return
+        vm, lender, request, asked_at = self.requests.pop(0)
+        entry = self.running(lender)
+        if entry is None:
+            return
+        result = entry.capacity.grant(request, entry.now(self.time))
+        if isinstance(result, Grant):
+            self.grant_versions[result.grant] = entry.config
+            if not lost:
+                self.replies.append((vm, request.incarnation, result, asked_at))
+
+    @rule(newest=st.booleans())
+    def reply(self, newest):
+        if not self.replies:
+            return
+        vm, incarnation, grant, asked_at = self.replies.pop(-1 if newest else 0)
+        entry = self.running(vm)
+        if entry is not None and entry.incarnation == incarnation:
+            entry.capacity.borrowed(grant, asked_at, entry.now(self.time))
+
+    @rule(vm=VMS, count=st.integers(1, 3))
+    def use_loans(self, vm, count):
+        entry = self.running(vm)
+        for _ in range(count if entry else 0):
+            loan = entry.capacity.acquire_loan("p", entry.now(self.time))
+            if loan is not None:
+                self.use_loan(entry, loan)
+
+    def use_loan(self, entry, loan):
+        version = self.grant_versions[loan.grant]
+        use = Use(loan.lender, loan.site, entry.domain, version, loan=loan, borrower=entry.vm)
+        self.uses.append(use)
+        self.check()
+        lender = self.running(loan.lender)
+        if lender is not None:
+            now = lender.now(self.time)
+            result = lender.capacity.acquire_granted(loan.grant, loan.incarnation, now)
+            use.slot = result if isinstance(result, Slot) else None
+        if use.slot is None:
+            self.uses.remove(use)
+            entry.capacity.release_loan(loan, entry.now(self.time))
+
+    @rule(vm=VMS, pick=st.integers(0, 5), dt=st.sampled_from([1.9, 1.985, 1.99, 2.0, 2.01]))
+    def contend_at_term_end(self, vm, pick, dt):
+        """Borrow, let the term almost end, then let everybody take what they can."""
+        self.requests.clear()
+        self.ask(vm, pick, 3)
+        self.decide(lost=False)
+        self.reply(newest=True)
+        for step in (dt / 2, dt / 2):
+            self.advance(step)
+        for other in sorted(self.entries):
+            self.acquire(other, 4)
+        self.use_loans(vm, 3)
+
+    # The oracle.
+
+    def limit(self, uses, of):
+        """Return the highest limit of the configurations that the uses began under."""
+        return max(of(self.configs[use.version]) for use in uses)
+
+    @invariant()
+    def check(self):
+        groups = defaultdict(list)
+        for use in getattr(self, "uses", []):
+            home = SITE_DOMAIN[use.site]
+            groups["site", use.site].append(use)
+            if use.slot is not None:
+                groups["server", use.slot.server].append(use)
+                groups["slot", (use.slot.server, use.slot.index)].append(use)
+            if use.origin != home:
+                groups["shift", use.site].append(use)
+            if REGION_OF[use.origin] != REGION_OF[home]:
+                link = f"{REGION_OF[use.origin]}->{REGION_OF[home]}"
+                groups["link", link].append(use)
+        for (kind, name), uses in groups.items():
+            limit = self.limit(uses, lambda config, k=kind, n=name: allowed(config, k, n))
+            assert len(uses) <= limit, f"{kind} {name}: {len(uses)} in use, limit {limit}: {uses}"
+
+
+def allowed(config: Config, kind: str, name) -> int:
+    """Return what one configuration allows in concurrent requests."""
+    match kind:
+        case "site":
+            site = config.sites[name]
+            return min(site.cap, sum(server.slots for server in site.servers.values()))
+        case "server":
+            servers = {n: s for site in config.sites.values() for n, s in site.servers.items()}
+            return servers[name].slots if name in servers else 0
+        case "slot":
+            return 1
+        case "shift":
+            return config.sites[name].shift_cap
+        case _:
+            return config.links[name].caps["p"]
+
+
+CapacityMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=50,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestCapacity = CapacityMachine.TestCase
