Convert node state between protobuf and data classes

The agent and the local processes exchange NodeStateMessage, while the decision parts work on state.NodeState. Both ends need one conversion, so that a field added on one side is not lost on the other.

The document travels as JSON bytes, and may be left out when the message before on the same stream carried it. A left-out document without a matching predecessor is an error: treating it as an empty configuration would make a process refuse every service. An unknown member state is an error as well, since taking it for serving could route work to an entry that does not take any.

--- /dev/null
+++ b/knapweeddock/nodestate.py
@@ -0,0 +1,163 @@
+"""Conversion between the protobuf messages of an agent and ``state.NodeState``.
+
+The configuration travels as the JSON document that :func:`model.decode_config`
+reads. A message may leave the document out when it is the same as in the
+message before.
+"""
+
+import msgspec
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.errors import MessageError
+from knapweeddock.ids import FailureDomainId, Incarnation, ServerId, SiteId, Version, ViewId, VmId
+from knapweeddock.model import Config, decode_config
+from knapweeddock.proto.knapweed_pb2 import MemberRecord, MemberView, NodeStateMessage
+from knapweeddock.state import Member, MemberState, NodeState
+
+
+def member_to_record(
+    member: Member, *, heartbeat: int = 0, config_version: int = 0
+) -> MemberRecord:
+    """Return the record of ``member`` without what its observer adds.
+
+    Args:
+        member: The member.
+        heartbeat: Heartbeat counter of the record.
+        config_version: Configuration version in force on the member's VM.
+    """
+    return MemberRecord(
+        vm=member.vm,
+        failure_domain=member.failure_domain,
+        entry_incarnation=member.incarnation,
+        state=member.state.value,
+        public_address=member.public_address,
+        internal_address=member.internal_address,
+        lending_address=member.lending_address,
+        lookup_address=member.lookup_address,
+        agent_address=member.agent_address,
+        settled_views=dict(member.settled_views),
+        load=member.load,
+        heartbeat=heartbeat,
+        config_version=config_version,
+    )
+
+
+def member_from_record(
+    record: MemberRecord, *, suspected: bool = False, down: bool = False
+) -> Member:
+    """Return the member that ``record`` describes.
+
+    Args:
+        record: The member's own record.
+        suspected: Whether the observer misses its heartbeats.
+        down: Whether there is evidence that the incarnation is gone.
+
+    Raises:
+        MessageError: The record names no VM or an unknown state.
+    """
+    if not record.vm:
+        raise MessageError("member record: vm is empty; a VM id is required")
+    try:
+        state = MemberState(record.state)
+    except ValueError:
+        allowed = ", ".join(known.value for known in MemberState)
+        raise MessageError(
+            f"member record of {record.vm}: state is {record.state!r}; allowed: {allowed}"
+        ) from None
+    return Member(
+        vm=VmId(record.vm),
+        failure_domain=FailureDomainId(record.failure_domain),
+        incarnation=Incarnation(record.entry_incarnation),
+        state=state,
+        public_address=record.public_address,
+        internal_address=record.internal_address,
+        lending_address=record.lending_address,
+        lookup_address=record.lookup_address,
+        agent_address=record.agent_address,
+        settled_views={SiteId(site): ViewId(view) for site, view in record.settled_views.items()},
+        load=record.load,
+        suspected=suspected,
+        down=down,
+    )
+
+
+def state_to_message(
+    state: NodeState,
+    *,
+    document: bytes | None = None,
+    document_unchanged: bool = False,
+    sequence: int = 0,
+) -> NodeStateMessage:
+    """Return the message that carries ``state``.
+
+    Args:
+        state: The snapshot.
+        document: The merged configuration document as JSON; encoded from
+            ``state.config`` when it is not given.
+        document_unchanged: Leave the document out, because the message before
+            on the same stream carried it.
+        sequence: Number of the message on its stream.
+    """
+    if document_unchanged:
+        document = b""
+    elif document is None:
+        document = msgspec.json.encode(state.config)
+    members = [
+        MemberView(member=member_to_record(member), suspected=member.suspected, down=member.down)
+        for member in state.members.values()
+    ]
+    return NodeStateMessage(
+        config_version=state.config_version,
+        document=document,
+        members=members,
+        leaving_servers=sorted(state.leaving_servers),
+        document_unchanged=document_unchanged,
+        sequence=sequence,
+    )
+
+
+def state_from_message(
+    message: NodeStateMessage, *, previous: NodeState | None = None
+) -> NodeState:
+    """Return the snapshot that ``message`` carries.
+
+    Args:
+        message: A message of an agent.
+        previous: Snapshot of the message before on the same stream; its
+            configuration is used when the document is unchanged.
+
+    Raises:
+        MessageError: The message is malformed, or leaves out a document that
+            was never sent.
+    """
+    members: dict[VmId, Member] = {}
+    for view in message.members:
+        member = member_from_record(view.member, suspected=view.suspected, down=view.down)
+        members[member.vm] = member
+    return NodeState(
+        config_version=Version(message.config_version),
+        config=_config_of(message, previous),
+        members=members,
+        leaving_servers=frozenset(ServerId(server) for server in message.leaving_servers),
+    )
+
+
+def _config_of(message: NodeStateMessage, previous: NodeState | None) -> Config:
+    if message.document_unchanged:
+        if previous is None or previous.config_version != message.config_version:
+            raise MessageError(
+                f"node state: document of version {message.config_version} is left out, "
+                "but it was not sent before"
+            )
+        return previous.config
+    if not message.document:
+        return Config()
+    try:
+        return decode_config(msgspec.json.decode(message.document, type=dict[str, object]))
+    except msgspec.ValidationError as error:
+        raise MessageError(f"node state: configuration document: {error}") from error
+    except msgspec.DecodeError as error:
+        raise MessageError(
+            f"node state: configuration document is not JSON: {error}",
+            code=ResultCode.MALFORMED_MESSAGE,
+        ) from error
--- /dev/null
+++ b/tests/test_nodestate.py
@@ -0,0 +1,79 @@
+import pytest
+
+from knapweeddock.errors import MessageError
+from knapweeddock.model import BackendServer, Config, RequestClass, Service, Site
+from knapweeddock.nodestate import state_from_message, state_to_message
+from knapweeddock.proto.knapweed_pb2 import NodeStateMessage
+from knapweeddock.state import Member, MemberState, NodeState
+
+
+def sample_state():
+    classes = {
+        "read": RequestClass(methods=["GET"], path_prefix="/", idempotent=True, pool="accounts")
+    }
+    site = Site(
+        pool="accounts",
+        failure_domain="d1",
+        servers={"s1": BackendServer(address="127.0.0.1:1")},
+        shares={"d2": 1},
+    )
+    member = Member(
+        vm="vm1",
+        failure_domain="d1",
+        incarnation="i1",
+        state=MemberState.LEAVING,
+        public_address="127.0.0.1:2",
+        internal_address="127.0.0.1:3",
+        lending_address="127.0.0.1:4",
+        settled_views={"accounts-d1": "ab"},
+        load=0.5,
+        suspected=True,
+        down=True,
+    )
+    return NodeState(
+        config_version=7,
+        config=Config(
+            services={"ledger": Service(hosts=["ledger"], classes=classes)},
+            sites={"accounts-d1": site},
+        ),
+        members={"vm1": member},
+        leaving_servers=frozenset({"s1", "s2"}),
+    )
+
+
+def test_round_trip_keeps_every_field():
+    """Guards against a field that is lost between agent and local process."""
+    message = NodeStateMessage.FromString(state_to_message(sample_state()).SerializeToString())
+    assert state_from_message(message) == sample_state()
+
+
+def test_unchanged_document_is_taken_from_the_message_before():
+    """Guards against an empty configuration after a message without a document."""
+    message = state_to_message(sample_state(), document_unchanged=True)
+    assert message.document == b""
+    assert state_from_message(message, previous=sample_state()) == sample_state()
+
+
+def test_unchanged_document_without_predecessor_is_refused():
+    """Guards against serving with no services after a lost first message."""
+    message = state_to_message(sample_state(), document_unchanged=True)
+    with pytest.raises(MessageError):
+        state_from_message(message)
+
+
+@pytest.mark.parametrize(
+    "document", [b"{", b"[]", b'{"sites": 3}', b'{"services": {"a": {"hosts": "x"}}}']
+)
+def test_bad_document_is_a_numbered_error(document):
+    """Guards against a decode error that ends the task of the agent link."""
+    with pytest.raises(MessageError) as caught:
+        state_from_message(NodeStateMessage(config_version=1, document=document))
+    assert caught.value.code == 501
+
+
+def test_unknown_member_state_is_refused():
+    """Guards against treating a state of a newer version as serving."""
+    message = state_to_message(sample_state())
+    message.members[0].member.state = "dozing"
+    with pytest.raises(MessageError, match="allowed: joining"):
+        state_from_message(message)
