--- /dev/null
+++ b/knapweeddock/entry/headers.py
@@ -0,0 +1,90 @@
+"""Names of HTTP headers and the rules for passing headers on."""
+
+from collections.abc import Iterable
+
+from aiohttp import hdrs
+from multidict import CIMultiDict, istr
+
+from knapweeddock.tracing import TRACE_HEADERS
+
+IDEMPOTENCY_KEY = istr("Idempotency-Key")
+INCARNATION = istr("Knapweed-Incarnation")
+NOT_AFTER = istr("Knapweed-Not-After")
+DEADLINE_MS = istr("Knapweed-Deadline-Ms")
+
+RESULT = istr("Knapweed-Result")
+OUTCOME = istr("Knapweed-Outcome")
+RETRY_AFTER_MS = istr("Knapweed-Retry-After-Ms")
+ASK = istr("Knapweed-Ask")
+
+GRANT = istr("Knapweed-Grant")
+GRANT_INCARNATION = istr("Knapweed-Grant-Incarnation")
+GRANT_SITE = istr("Knapweed-Grant-Site")
+
+BACKEND_DEADLINE_MS = istr("Backend-Deadline-Ms")
+BACKEND_NOT_RUN = istr("Backend-Not-Run")
+BACKEND_DRAINING = istr("Backend-Draining")
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+REQUEST_ONLY_HERE = HOP_BY_HOP | TRACE_HEADERS | {"content-length", "expect"}
+"""Request headers that are set anew on each connection."""
+
+OWN_PREFIXES = ("knapweed-", "backend-")
+"""Headers of the system's own protocols; a caller or server must not forge them."""
+
+
+def request_headers(headers: CIMultiDict[str]) -> CIMultiDict[str]:
+    """Return the headers of a caller's request that are passed on."""
+    return _passed_on(headers, REQUEST_ONLY_HERE)
+
+
+def answer_headers(headers: CIMultiDict[str], *, keep_length: bool) -> CIMultiDict[str]:
+    """Return the headers of an answer that are passed on.
+
+    Args:
+        headers: Headers of the answer.
+        keep_length: Keep Content-Length, as for an answer to HEAD, whose
+            body is absent.
+    """
+    dropped = HOP_BY_HOP if keep_length else HOP_BY_HOP | {"content-length"}
+    return _passed_on(headers, dropped)
+
+
+def _passed_on(headers: CIMultiDict[str], dropped: Iterable[str]) -> CIMultiDict[str]:
+    nominated = ",".join(headers.getall(hdrs.CONNECTION, []))
+    if nominated:
+        dropped = set(dropped).union(name.strip().lower() for name in nominated.split(","))
+    result: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        lower = name.lower()
+        if lower not in dropped and not lower.startswith(OWN_PREFIXES):
+            result.add(name, value if value.isascii() else _encodable(value))
+    return result
+
+
+def _encodable(value: str) -> str:
+    """Replace bytes that are not UTF-8, which aiohttp reads but cannot write."""
+    return value.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
+
+
+def seconds_of(headers: CIMultiDict[str]) -> float | None:
+    """Return when an answer wants to be asked again, in seconds, if it says so."""
+    for name, unit_s in ((RETRY_AFTER_MS, 0.001), (hdrs.RETRY_AFTER, 1.0)):
+        text = headers.get(name, "")
+        if text.isascii() and text.isdigit() and len(text) <= 9:
+            return int(text) * unit_s
+    return None
--- /dev/null
+++ b/knapweeddock/entry/httpserver.py
@@ -0,0 +1,118 @@
+"""An HTTP server with bounded headers and numbered JSON errors."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.web_protocol import RequestHandler
+from mode import Service
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.entry.messages import CodeAnswer
+from knapweeddock.entry.replies import code_response
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+log = structlog.get_logger(__name__)
+
+KEEPALIVE_S = 75.0
+"""Idle time after which a caller's connection is closed."""
+
+LINGER_S = 2.0
+"""Longest time to read the rest of a refused request's body."""
+
+SHUTDOWN_S = 1.0
+"""Longest time for handlers to end when the server stops."""
+
+MAX_HEADERS = 128
+BACKLOG = 1024
+
+
+class JsonErrorHandler(RequestHandler):
+    """Answers requests that cannot be parsed with a numbered JSON error."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the error and close the connection afterwards."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer was begun; no error can follow it")
+        if status >= 500:
+            log.error("request handler failed", exc_info=exc)
+            answer = CodeAnswer(code=ResultCode.SERVER_LOST)
+            message = "The entry failed while it handled the request."
+        elif isinstance(exc, LineTooLong):
+            answer = CodeAnswer(code=ResultCode.HEADER_TOO_LARGE)
+        else:
+            answer = CodeAnswer(code=ResultCode.BAD_REQUEST)
+        response = code_response(answer, message=_one_line(message))
+        response.force_close()
+        return response
+
+
+class BoundedServer(web.Server):
+    """Creates a ``JsonErrorHandler`` for each connection."""
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return JsonErrorHandler(self, loop=self._loop, **self._kwargs)
+
+
+class HttpServer(Service):
+    """Serves one port.
+
+    Attributes:
+        address: ``host:port`` that the server is bound to; set by the start.
+    """
+
+    def __init__(
+        self, *, host: str, port: int, handler: Handler, header_limit: int = 16 * 1024
+    ) -> None:
+        super().__init__()
+        self.host = host
+        self.port = port
+        self.handler = handler
+        self.header_limit = header_limit
+        self.address = ""
+        self.web_server: web.Server | None = None
+        self.listener: asyncio.Server | None = None
+
+    async def on_start(self) -> None:
+        """Bind the port."""
+        self.web_server = BoundedServer(
+            self.handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGER_S,
+            auto_decompress=False,
+            max_line_size=self.header_limit,
+            max_field_size=self.header_limit,
+            max_headers=MAX_HEADERS,
+        )
+        self.listener = await asyncio.get_running_loop().create_server(
+            self.web_server, self.host, self.port, backlog=BACKLOG
+        )
+        port = self.listener.sockets[0].getsockname()[1]
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        self.address = f"{host}:{port}"
+
+    async def on_stop(self) -> None:
+        """Close the port, then the connections."""
+        if self.listener is not None:
+            self.listener.close()
+        if self.web_server is not None:
+            self.web_server.pre_shutdown()
+            await self.web_server.shutdown(SHUTDOWN_S)
+
+
+def _one_line(message: str | None) -> str | None:
+    return None if message is None else " ".join(message.split())[:200]
--- /dev/null
+++ b/knapweeddock/entry/intake.py
@@ -0,0 +1,241 @@
+"""Reads requests of callers and of other entries within bounds."""
+
+import asyncio
+import math
+import re
+from collections.abc import Mapping
+from hashlib import blake2b
+from urllib.parse import unquote
+
+from aiohttp import hdrs, web
+from opentelemetry.context import Context
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.entry import headers as names
+from knapweeddock.entry.messages import IncomingRequest
+from knapweeddock.errors import KnapweedError
+from knapweeddock.events import Arrival, GrantUse, IdempotencyKey
+from knapweeddock.ids import GrantId, Incarnation, RequestId, SiteId
+from knapweeddock.settings import EntryLimits
+
+MAX_KEY_LENGTH = 256
+"""Characters of an idempotency key; bounds the memory of the key table."""
+
+MAX_BUDGET_MS = 3_600_000
+"""Largest time budget that a request may name."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+DIGEST_BYTES = 16
+
+_TARGET = re.compile(r"/[!-~]*")
+
+
+class RequestRefused(KnapweedError):
+    """A request is refused before the dispatcher sees it; it was not run."""
+
+
+class Intake:
+    """Reads requests and checks what can be checked without configuration."""
+
+    def __init__(self, *, limits: EntryLimits) -> None:
+        self.limits = limits
+
+    async def read(
+        self, request: web.BaseRequest, identifier: RequestId, context: Context
+    ) -> IncomingRequest:
+        """Read a request of a caller.
+
+        Args:
+            request: The request, its body unread.
+            identifier: Identifier for this process.
+            context: Trace context of the span that handles it.
+
+        Raises:
+            RequestRefused: The request is malformed or too large.
+        """
+        target = _target(request)
+        self._check_header_size(request)
+        budget_s = _budget_s(request.headers)
+        key = key_of(request.headers)
+        host = _host(request.headers)
+        body = await self._body(request, budget_s)
+        digest = b"" if key is None else _digest(request.method, target, body)
+        arrival = Arrival(
+            request=identifier,
+            host=host,
+            method=request.method,
+            path=unquote(target.partition("?")[0]),
+            budget_s=budget_s,
+            key=key,
+            body_digest=digest,
+        )
+        return _incoming(request, arrival, target, body, context)
+
+    async def read_granted(
+        self, request: web.BaseRequest, identifier: RequestId, context: Context
+    ) -> IncomingRequest:
+        """Read a request that another entry sends under a grant.
+
+        Raises:
+            RequestRefused: The request is malformed or names no grant.
+        """
+        target = _target(request)
+        self._check_header_size(request)
+        budget_s = _budget_s(request.headers)
+        grant = _grant_of(request.headers)
+        host = _host(request.headers)
+        body = await self._body(request, budget_s)
+        arrival = Arrival(
+            request=identifier,
+            host=host,
+            method=request.method,
+            path=unquote(target.partition("?")[0]),
+            budget_s=budget_s,
+            grant=grant,
+        )
+        return _incoming(request, arrival, target, body, context)
+
+    def _check_header_size(self, request: web.BaseRequest) -> None:
+        size = sum(len(name) + len(value) for name, value in request.raw_headers)
+        if size > self.limits.header_limit:
+            raise RequestRefused(
+                f"headers have {size} bytes; at most {self.limits.header_limit} are allowed",
+                code=ResultCode.HEADER_TOO_LARGE,
+            )
+
+    async def _body(self, request: web.BaseRequest, budget_s: float | None) -> bytes:
+        if not request.body_exists:
+            return b""
+        length = request.content_length
+        if length is not None and length > self.limits.body_limit:
+            raise self._too_large()
+        if request.headers.get(hdrs.EXPECT, "").lower() == "100-continue":
+            await request.writer.write(CONTINUE)
+            request.writer.output_size = 0
+        timeout_s = self.limits.body_timeout_s
+        if budget_s is not None:
+            timeout_s = min(timeout_s, budget_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._read_body(request)
+        except TimeoutError:
+            raise RequestRefused(
+                f"the request body did not arrive within {timeout_s} s",
+                code=ResultCode.DEADLINE_PASSED,
+            ) from None
+        except web.RequestPayloadError as error:
+            raise RequestRefused(f"the request body is malformed: {error}") from error
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+            if size > self.limits.body_limit:
+                raise self._too_large()
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def _too_large(self) -> RequestRefused:
+        return RequestRefused(
+            f"the request body exceeds {self.limits.body_limit} bytes",
+            code=ResultCode.BODY_TOO_LARGE,
+        )
+
+
+def key_of(headers: Mapping[str, str]) -> IdempotencyKey | None:
+    """Return the idempotency key, or None when one of its headers is absent.
+
+    Raises:
+        RequestRefused: A header of the key is malformed.
+    """
+    key = headers.get(names.IDEMPOTENCY_KEY)
+    incarnation = headers.get(names.INCARNATION)
+    not_after = headers.get(names.NOT_AFTER)
+    if not key or not incarnation or not not_after:
+        return None
+    if len(key) > MAX_KEY_LENGTH or len(incarnation) > MAX_KEY_LENGTH:
+        raise RequestRefused(
+            f"{names.IDEMPOTENCY_KEY} and {names.INCARNATION} may have "
+            f"{MAX_KEY_LENGTH} characters each"
+        )
+    if not (not_after.isascii() and not_after.isdigit() and len(not_after) <= 15):
+        raise RequestRefused(
+            f"{names.NOT_AFTER} is {not_after[:40]!r}; allowed: Unix time in ms as a whole number"
+        )
+    return IdempotencyKey(
+        key=key, incarnation=Incarnation(incarnation), not_after=int(not_after) / 1000
+    )
+
+
+def _grant_of(headers: Mapping[str, str]) -> GrantUse:
+    grant = headers.get(names.GRANT)
+    incarnation = headers.get(names.GRANT_INCARNATION)
+    site = headers.get(names.GRANT_SITE)
+    if not grant or not incarnation or not site:
+        raise RequestRefused(
+            f"{names.GRANT}, {names.GRANT_INCARNATION} and {names.GRANT_SITE} are required here"
+        )
+    return GrantUse(
+        grant=GrantId(grant), incarnation=Incarnation(incarnation), site=SiteId(site)
+    )
+
+
+def _budget_s(headers: Mapping[str, str]) -> float | None:
+    text = headers.get(names.DEADLINE_MS)
+    if text is None:
+        return None
+    try:
+        budget_ms = float(text)
+    except ValueError:
+        budget_ms = math.nan
+    if not 0 <= budget_ms <= MAX_BUDGET_MS:
+        raise RequestRefused(
+            f"{names.DEADLINE_MS} is {text[:40]!r}; allowed: a number from 0 to {MAX_BUDGET_MS}"
+        )
+    return budget_ms / 1000
+
+
+def _target(request: web.BaseRequest) -> str:
+    """Return path and query; other forms of a request target are refused."""
+    target = request.raw_path
+    if not _TARGET.fullmatch(target) or "#" in target or target.startswith("//"):
+        raise RequestRefused(
+            "the request target must be a path of printable ASCII characters, "
+            "starting with a single '/'"
+        )
+    return target
+
+
+def _host(headers: Mapping[str, str]) -> str:
+    """Return the host name without the port."""
+    text = headers.get(hdrs.HOST, "")
+    if text.startswith("["):
+        host = text[1:].partition("]")[0]
+    else:
+        host = text.partition(":")[0]
+    if not host:
+        raise RequestRefused("the Host header is required; it selects the service")
+    return host.lower()
+
+
+def _digest(method: str, target: str, body: bytes) -> bytes:
+    """Return the digest that tells a repeated request from a different one."""
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (method.encode(), target.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _incoming(
+    request: web.BaseRequest, arrival: Arrival, target: str, body: bytes, context: Context
+) -> IncomingRequest:
+    return IncomingRequest(
+        arrival=arrival,
+        method=request.method,
+        target=target,
+        headers=names.request_headers(request.headers),
+        body=body,
+        context=context,
+    )
--- /dev/null
+++ b/knapweeddock/entry/prober.py
@@ -0,0 +1,157 @@
+"""Probes the backend servers of the entry's own failure domain."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import structlog
+from mode import Service
+
+from knapweeddock.clock import Clock
+from knapweeddock.entry.dispatchloop import DispatchLoop
+from knapweeddock.grants import ServerHealth, ServerReport
+from knapweeddock.ids import FailureDomainId, ServerId
+from knapweeddock.state import NodeState
+
+log = structlog.get_logger(__name__)
+
+PROBE_BYTES = 4096
+"""Largest answer to a probe."""
+
+FIRST_ROUND_TASKS = 16
+"""Probes at a time in the first round, which does not wait for the stagger."""
+
+
+class HealthBody(msgspec.Struct):
+    """Answer of ``/health``; other fields are ignored."""
+
+    status: str
+
+
+class LoadBody(msgspec.Struct):
+    """Answer of ``/load``; other fields are ignored."""
+
+    in_flight: int
+
+
+class Prober(Service):
+    """Reports the health and load of servers to the dispatch loop.
+
+    Attributes:
+        servers: Address of each server to probe.
+        first_round: Set when every server was probed once.
+    """
+
+    def __init__(
+        self,
+        *,
+        loop: DispatchLoop,
+        failure_domain: FailureDomainId,
+        interval_s: float,
+        timeout_s: float,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self.dispatch = loop
+        self.failure_domain = failure_domain
+        self.interval_s = interval_s
+        self.timeout_s = timeout_s
+        self.clock = clock
+        self.servers: dict[ServerId, str] = {}
+        self.known = asyncio.Event()
+        self.first_round = asyncio.Event()
+        self.probes: set[asyncio.Task[None]] = set()
+        self.session: aiohttp.ClientSession | None = None
+
+    def update(self, state: NodeState) -> None:
+        """Probe the servers that ``state`` names from now on."""
+        self.servers = {
+            server: endpoint.address
+            for site in state.config.sites.values()
+            if site.failure_domain == self.failure_domain
+            for server, endpoint in site.servers.items()
+        }
+        self.known.set()
+
+    async def on_start(self) -> None:
+        """Open the session."""
+        # Both requests of a probe share a connection, the next probe takes a
+        # fresh one: an old connection may be silent while the server is well.
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=self.timeout_s / 2)
+        self.session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def on_stop(self) -> None:
+        """Cancel running probes and close the session."""
+        for probe in self.probes:
+            probe.cancel()
+        if self.probes:
+            await asyncio.wait(self.probes)
+        await self.session.close()
+
+    @Service.task
+    async def run(self) -> None:
+        """Probe all servers at once, then one after the other in each interval."""
+        await self.known.wait()
+        await self._first_round()
+        while True:
+            servers = sorted(self.servers.items())
+            pause_s = self.interval_s / max(1, len(servers))
+            for server, address in servers:
+                probe = asyncio.get_running_loop().create_task(self.probe(server, address))
+                self.probes.add(probe)
+                probe.add_done_callback(self.probes.discard)
+                await asyncio.sleep(pause_s)
+            if not servers:
+                await asyncio.sleep(pause_s)
+
+    async def _first_round(self) -> None:
+        semaphore = asyncio.Semaphore(FIRST_ROUND_TASKS)
+
+        async def bounded(server: ServerId, address: str) -> None:
+            async with semaphore:
+                await self.probe(server, address)
+
+        async with asyncio.TaskGroup() as group:
+            for server, address in self.servers.items():
+                group.create_task(bounded(server, address))
+        self.first_round.set()
+
+    async def probe(self, server: ServerId, address: str) -> None:
+        """Probe one server and report what it says of itself."""
+        health = ServerHealth.UNREACHABLE
+        in_flight = None
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                health = await self._health(address)
+                in_flight = await self._in_flight(address)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log.debug("probe failed", server=server, error=repr(error))
+        report = ServerReport(
+            server=server,
+            health=health,
+            in_flight=in_flight,
+            measured_at=self.clock.monotonic(),
+        )
+        self.dispatch.post(report)
+
+    async def _health(self, address: str) -> ServerHealth:
+        content = await self._get(address, "/health")
+        try:
+            return ServerHealth(msgspec.json.decode(content, type=HealthBody).status)
+        except (msgspec.DecodeError, ValueError):
+            return ServerHealth.UNREACHABLE
+
+    async def _in_flight(self, address: str) -> int | None:
+        content = await self._get(address, "/load")
+        try:
+            return max(0, msgspec.json.decode(content, type=LoadBody).in_flight)
+        except msgspec.DecodeError:
+            return None
+
+    async def _get(self, address: str, path: str) -> bytes:
+        async with self.session.get(f"http://{address}{path}", allow_redirects=False) as response:
+            if response.status != 200:
+                return b""
+            return await response.content.read(PROBE_BYTES)
