Proxy a request end to end with a given node state

First version of the entry daemon: public and internal HTTP servers, the dispatch loop, the client towards backend servers and lenders, the prober, the link to the agent, and the graceful stop, wired as one mode service.

Ports are bound before the parts are built, because the slot accounting publishes the internal address in its grants.

--- /dev/null
+++ b/knapweeddock/entry/__main__.py
@@ -0,0 +1,82 @@
+"""Command line of ``knapweed-entry``."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import cyclopts
+import structlog
+
+from knapweeddock.codes import exit_status
+from knapweeddock.entry.service import EntryService
+from knapweeddock.errors import KnapweedError
+from knapweeddock.logs import configure_logs
+from knapweeddock.settings import EntrySettings, load_settings
+
+log = structlog.get_logger(__name__)
+
+FAILED_STATUS = 1
+"""Exit status of a process that crashed or that its peers recorded as gone."""
+
+app = cyclopts.App(name="knapweed-entry", help="Take callers' requests for one VM.")
+
+
+@app.default
+def entry(*, settings: Path) -> int:
+    """Run the entry daemon until SIGTERM or SIGINT.
+
+    Args:
+        settings: Settings file, JSON with comments.
+    """
+    try:
+        loaded = load_settings(settings, EntrySettings)
+    except KnapweedError as error:
+        print(error, file=sys.stderr)
+        return exit_status(error.code)
+    configure_logs(level=loaded.log_level, process="knapweed-entry", vm=loaded.vm)
+    return asyncio.run(run(loaded))
+
+
+async def run(settings: EntrySettings) -> int:
+    """Run the daemon and return its exit status."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    service = EntryService(settings=settings)
+    try:
+        await service.start()
+    except OSError as error:
+        log.error("cannot listen", error=str(error))
+        return FAILED_STATUS
+    waits = {
+        "stop": loop.create_task(stop.wait()),
+        "marked down": loop.create_task(service.marked_down.wait()),
+        "crash": loop.create_task(service.wait_until_stopped()),
+    }
+    await asyncio.wait(waits.values(), return_when=asyncio.FIRST_COMPLETED)
+    reasons = [name for name, task in waits.items() if task.done()]
+    for task in waits.values():
+        task.cancel()
+    log.info("stopping", reasons=reasons)
+    status = 0
+    if service.crashed:
+        log.error("a part of the process failed", error=repr(service.crash_reason))
+        status = FAILED_STATUS
+    elif service.marked_down.is_set():
+        await service.finish_running()
+        status = FAILED_STATUS
+    else:
+        await service.drain()
+    await service.stop()
+    return status
+
+
+def main() -> None:
+    """Run the command line and exit with its status."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweeddock/entry/agentlink.py
+++ b/knapweeddock/entry/agentlink.py
@@ -145,7 +145,7 @@
         return True
 
     def _report(self) -> ReportRequest:
-        state = self.dispatch.state
+        state = self.dispatch.node_state
         return ReportRequest(
             vm=self.vm,
             role=ROLE,
--- a/knapweeddock/entry/dispatchloop.py
+++ b/knapweeddock/entry/dispatchloop.py
@@ -110,7 +110,8 @@
     """Feeds the dispatcher and carries out its actions.
 
     Attributes:
-        state: The newest snapshot; None before the first one.
+        node_state: The newest snapshot; None before the first one.
+        configured: Set when there is a snapshot.
         changed: Set when something that the agent should know changed.
         pending: Requests without an answer.
         last_grant_end: When the newest grant to another entry ends.
@@ -123,7 +124,8 @@
         self.metrics = metrics
         self.carrier: Carrier | None = None
         self.queue: asyncio.Queue[Item] = asyncio.Queue()
-        self.state: NodeState | None = None
+        self.node_state: NodeState | None = None
+        self.configured = asyncio.Event()
         self.changed = asyncio.Event()
         self.pending: dict[RequestId, PendingRequest] = {}
         self.gone: dict[RequestId, PendingRequest] = {}
@@ -223,7 +225,8 @@
             case AttemptResult():
                 self._attempt_result(item, now)
             case StateUpdate(state=state):
-                self.state = state
+                self.node_state = state
+                self.configured.set()
                 self.dispatcher.update(state, now)
                 self._handle(Tick(), now)
             case ServerReport() as report:
@@ -323,9 +326,9 @@
 
     def url_of(self, incarnation: Incarnation | None) -> str | None:
         """Return the URL of the entry with ``incarnation`` if it is known."""
-        if incarnation is None or self.state is None:
+        if incarnation is None or self.node_state is None:
             return None
-        for member in self.state.members.values():
+        for member in self.node_state.members.values():
             if member.incarnation == incarnation and not member.down:
                 return f"http://{member.public_address}"
         return None
--- a/knapweeddock/entry/entrymetrics.py
+++ b/knapweeddock/entry/entrymetrics.py
@@ -26,12 +26,8 @@
         self.pending = self.process.gauge(
             "knapweed_pending_requests", "Requests that have no answer yet."
         )
-        self.kept = self.process.gauge(
-            "knapweed_kept_answers", "Answers kept for repeated keys."
-        )
-        self.load = self.process.gauge(
-            "knapweed_load", "Busy fraction of the entry's own slots."
-        )
+        self.kept = self.process.gauge("knapweed_kept_answers", "Answers kept for repeated keys.")
+        self.load = self.process.gauge("knapweed_load", "Busy fraction of the entry's own slots.")
 
     def answered(self, port: str, code: ResultCode, seconds: float) -> None:
         """Count an answered request."""
--- a/knapweeddock/entry/httpclient.py
+++ b/knapweeddock/entry/httpclient.py
@@ -211,9 +211,7 @@
             # Has no effect on a connection whose answer was read to its end.
             response.close()
 
-    async def _receive(
-        self, response: ClientResponse, call: Call, commit: Commit
-    ) -> CallResult:
+    async def _receive(self, response: ClientResponse, call: Call, commit: Commit) -> CallResult:
         if not _has_known_end(response, call.method):
             return CallResult(outcome=AttemptOutcome.INCOMPLETE)
         chunks: list[bytes] = []
@@ -224,7 +222,7 @@
             if size > self.buffer_limit:
                 if not call.streaming:
                     return CallResult(outcome=AttemptOutcome.INCOMPLETE)
-                return await _stream(response, b"".join(chunks), commit)
+                return await _stream(response, b"".join(chunks), call.timeout_s, commit)
         answer = BufferedAnswer(
             status=response.status,
             reason=response.reason,
@@ -268,13 +266,15 @@
     return "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
 
 
-async def _stream(response: ClientResponse, first: bytes, commit: Commit) -> CallResult:
-    length = response.content_length
+async def _stream(
+    response: ClientResponse, first: bytes, timeout_s: float, commit: Commit
+) -> CallResult:
     answer = StreamedAnswer(
         status=response.status,
         reason=response.reason,
         headers=names.answer_headers(response.headers, keep_length=False),
-        length=length,
+        length=response.content_length,
+        timeout_s=timeout_s,
     )
     size = len(first)
     draining = response.headers.get(names.BACKEND_DRAINING) == "1"
--- a/knapweeddock/entry/httpserver.py
+++ b/knapweeddock/entry/httpserver.py
@@ -11,6 +11,7 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.entry.messages import CodeAnswer
+from knapweeddock.entry.ports import BoundPort
 from knapweeddock.entry.replies import code_response
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -47,13 +48,15 @@
             raise ConnectionError("an answer was begun; no error can follow it")
         if status >= 500:
             log.error("request handler failed", exc_info=exc)
-            answer = CodeAnswer(code=ResultCode.SERVER_LOST)
-            message = "The entry failed while it handled the request."
-        elif isinstance(exc, LineTooLong):
-            answer = CodeAnswer(code=ResultCode.HEADER_TOO_LARGE)
+            answer = CodeAnswer(
+                code=ResultCode.SERVER_LOST,
+                message="The entry failed while it handled the request.",
+            )
         else:
-            answer = CodeAnswer(code=ResultCode.BAD_REQUEST)
-        response = code_response(answer, message=_one_line(message))
+            too_long = isinstance(exc, LineTooLong)
+            code = ResultCode.HEADER_TOO_LARGE if too_long else ResultCode.BAD_REQUEST
+            answer = CodeAnswer(code=code, message=_one_line(message))
+        response = code_response(answer)
         response.force_close()
         return response
 
@@ -70,23 +73,19 @@
     """Serves one port.
 
     Attributes:
-        address: ``host:port`` that the server is bound to; set by the start.
+        handler: Answers each request.
     """
 
-    def __init__(
-        self, *, host: str, port: int, handler: Handler, header_limit: int = 16 * 1024
-    ) -> None:
+    def __init__(self, *, port: BoundPort, handler: Handler, header_limit: int) -> None:
         super().__init__()
-        self.host = host
         self.port = port
         self.handler = handler
         self.header_limit = header_limit
-        self.address = ""
         self.web_server: web.Server | None = None
         self.listener: asyncio.Server | None = None
 
     async def on_start(self) -> None:
-        """Bind the port."""
+        """Start to listen."""
         self.web_server = BoundedServer(
             self.handler,
             handler_cancellation=True,
@@ -99,11 +98,8 @@
             max_headers=MAX_HEADERS,
         )
         self.listener = await asyncio.get_running_loop().create_server(
-            self.web_server, self.host, self.port, backlog=BACKLOG
+            self.web_server, sock=self.port.socket, backlog=BACKLOG
         )
-        port = self.listener.sockets[0].getsockname()[1]
-        host = f"[{self.host}]" if ":" in self.host else self.host
-        self.address = f"{host}:{port}"
 
     async def on_stop(self) -> None:
         """Close the port, then the connections."""
--- a/knapweeddock/entry/intake.py
+++ b/knapweeddock/entry/intake.py
@@ -176,9 +176,7 @@
         raise RequestRefused(
             f"{names.GRANT}, {names.GRANT_INCARNATION} and {names.GRANT_SITE} are required here"
         )
-    return GrantUse(
-        grant=GrantId(grant), incarnation=Incarnation(incarnation), site=SiteId(site)
-    )
+    return GrantUse(grant=GrantId(grant), incarnation=Incarnation(incarnation), site=SiteId(site))
 
 
 def _budget_s(headers: Mapping[str, str]) -> float | None:
@@ -210,10 +208,8 @@
 def _host(headers: Mapping[str, str]) -> str:
     """Return the host name without the port."""
     text = headers.get(hdrs.HOST, "")
-    if text.startswith("["):
-        host = text[1:].partition("]")[0]
-    else:
-        host = text.partition(":")[0]
+    bracketed = text.startswith("[")
+    host = text[1:].partition("]")[0] if bracketed else text.partition(":")[0]
     if not host:
         raise RequestRefused("the Host header is required; it selects the service")
     return host.lower()
--- a/knapweeddock/entry/lending.py
+++ b/knapweeddock/entry/lending.py
@@ -10,6 +10,7 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.entry.dispatchloop import DispatchLoop
+from knapweeddock.entry.ports import BoundPort
 from knapweeddock.events import Borrow
 from knapweeddock.grants import BorrowRequest, Grant, Refusal
 from knapweeddock.ids import FailureDomainId, GrantId, Incarnation, SiteId, VmId
@@ -34,27 +35,20 @@
     """Answers other entries that ask to borrow.
 
     Attributes:
-        address: ``host:port`` that the service is bound to; set by the start.
         stopping: Whether nothing is lent any more.
     """
 
-    def __init__(self, *, host: str, port: int, loop: DispatchLoop) -> None:
+    def __init__(self, *, port: BoundPort, loop: DispatchLoop) -> None:
         super().__init__()
-        self.host = host
         self.port = port
         self.dispatch = loop
-        self.address = ""
         self.stopping = False
         self.server: Server | None = None
 
     async def on_start(self) -> None:
-        """Bind the port."""
+        """Start to listen."""
         self.server = Server([self])
-        await self.server.start(self.host, self.port)
-        # grpclib does not tell the port that it was given for port 0.
-        listener = self.server._server
-        host = f"[{self.host}]" if ":" in self.host else self.host
-        self.address = f"{host}:{listener.sockets[0].getsockname()[1]}"
+        await self.server.start(sock=self.port.socket)
 
     async def on_stop(self) -> None:
         """Close the port and the connections."""
@@ -62,7 +56,7 @@
             self.server.close()
             await self.server.wait_closed()
 
-    async def Borrow(self, stream: Stream[BorrowMessage, BorrowResult]) -> None:  # noqa: N802
+    async def Borrow(self, stream: Stream[BorrowMessage, BorrowResult]) -> None:
         """Decide on one request to borrow."""
         message = await stream.recv_message()
         if message is None:
--- a/knapweeddock/entry/messages.py
+++ b/knapweeddock/entry/messages.py
@@ -63,6 +63,7 @@
         reason: Reason phrase.
         headers: Headers to pass on.
         length: Length of the body in bytes, when the server gave it.
+        timeout_s: Time after which its reading is given up.
         chunks: Parts of the body, then a ``StreamEnd``.
     """
 
@@ -70,6 +71,7 @@
     reason: str | None
     headers: CIMultiDict[str]
     length: int | None
+    timeout_s: float
     chunks: asyncio.Queue[bytes | StreamEnd] = field(
         default_factory=lambda: asyncio.Queue(STREAM_CHUNKS)
     )
@@ -83,11 +85,13 @@
         code: The result.
         retry_after_s: When the caller should come back.
         ask: URL of the entry that knows more.
+        message: What is wrong, when more is known than the code tells.
     """
 
     code: ResultCode
     retry_after_s: float | None = None
     ask: str | None = None
+    message: str | None = None
 
 
 Answer = BufferedAnswer | StreamedAnswer | CodeAnswer
--- /dev/null
+++ b/knapweeddock/entry/ports.py
@@ -0,0 +1,40 @@
+"""Listening sockets that are bound before the parts that need their addresses."""
+
+import socket
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundPort:
+    """A bound socket that does not listen yet, so connections are refused.
+
+    Attributes:
+        socket: The socket.
+        address: ``host:port`` to publish.
+    """
+
+    socket: socket.socket
+    address: str
+
+
+def bind_port(host: str, port: int) -> BoundPort:
+    """Bind a TCP port.
+
+    Args:
+        host: Address of this machine.
+        port: The port, or 0 for a free one.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind((host, port))
+    except OSError:
+        listener.close()
+        raise
+    shown = f"[{host}]" if ":" in host else host
+    return BoundPort(socket=listener, address=f"{shown}:{listener.getsockname()[1]}")
--- a/knapweeddock/entry/replies.py
+++ b/knapweeddock/entry/replies.py
@@ -25,14 +25,15 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with time 0: closing sends a reset in place of a normal end."""
 
-WRITE_LIMIT_S = 3600.0
-"""Longest time to write an answer, so that a caller that stopped reading does
-not hold its memory for ever. Equal to the largest time budget of a request."""
+WRITE_LIMIT_S = 30.0
+"""Longest time to write a complete answer, so that a caller that stopped reading
+does not hold its memory for ever."""
 
 RUNNING_RETRY_S = 0.5
 """Time after which a caller may ask again for the outcome of a running key."""
 
 OUTCOME_STATUS = {KeyState.RUNNING: 202, KeyState.COMPLETE: 200, KeyState.NOT_RUN: 200}
+OUTCOME_MESSAGE = {KeyState.RUNNING: "The work waits or runs."}
 
 
 class ErrorBody(msgspec.Struct, kw_only=True):
@@ -46,21 +47,18 @@
     ask: str | None = None
 
 
-def code_response(
-    answer: CodeAnswer, *, message: str | None = None, outcome: str | None = None
-) -> web.Response:
+def code_response(answer: CodeAnswer, *, outcome: str | None = None) -> web.Response:
     """Return the response that reports a result code.
 
     Args:
         answer: The code and what goes with it.
-        message: What is wrong, when more is known than the code tells.
         outcome: What the caller may conclude, when it is not what the code says.
     """
     info = CODE_INFO[answer.code]
     body = ErrorBody(
         code=int(answer.code),
         name=answer.code.name,
-        message=message or info.meaning,
+        message=answer.message or info.meaning,
         outcome=outcome or info.outcome.value,
         ask=answer.ask,
     )
@@ -85,9 +83,13 @@
     if state is KeyState.COMPLETE and result.kept is not None:
         return buffered_response(result.kept)
     retry_after_s = RUNNING_RETRY_S if state is KeyState.RUNNING else None
-    answer = CodeAnswer(code=result.outcome.code, retry_after_s=retry_after_s, ask=result.ask)
-    message = "The work is waiting or running." if state is KeyState.RUNNING else None
-    response = code_response(answer, message=message, outcome=state.value)
+    answer = CodeAnswer(
+        code=result.outcome.code,
+        retry_after_s=retry_after_s,
+        ask=result.ask,
+        message=OUTCOME_MESSAGE.get(state),
+    )
+    response = code_response(answer, outcome=state.value)
     response.set_status(OUTCOME_STATUS.get(state, response.status))
     return response
 
@@ -117,6 +119,7 @@
         ConnectionError: The caller took too long or went away, or the answer
             broke partway; the connection is reset then.
     """
+    limit_s = WRITE_LIMIT_S
     match answer:
         case BufferedAnswer():
             response = buffered_response(answer)
@@ -124,10 +127,11 @@
             response = code_response(answer)
         case StreamedAnswer():
             response = _stream_response(answer)
+            limit_s += answer.timeout_s
     if last:
         response.force_close()
     try:
-        async with asyncio.timeout(WRITE_LIMIT_S):
+        async with asyncio.timeout(limit_s):
             await response.prepare(request)
             if isinstance(answer, StreamedAnswer):
                 await _write_chunks(response, answer)
--- a/knapweeddock/entry/sending.py
+++ b/knapweeddock/entry/sending.py
@@ -76,9 +76,7 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    async def _attempt(
-        self, action: SendToServer | SendToEntry, incoming: IncomingRequest
-    ) -> None:
+    async def _attempt(self, action: SendToServer | SendToEntry, incoming: IncomingRequest) -> None:
         result = CallResult(outcome=AttemptOutcome.LOST)
         try:
             with self.tracing.span("send", SpanKind.CLIENT, incoming.context) as span:
--- /dev/null
+++ b/knapweeddock/entry/service.py
@@ -0,0 +1,300 @@
+"""The entry process: its parts, their start and their graceful stop."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import structlog
+from mode import Service
+
+from knapweeddock.clock import CLOCK_DRIFT, Clock, SystemClock
+from knapweeddock.dispatcher import Dispatcher
+from knapweeddock.dispatchsettings import DispatchSettings, KeyLimits
+from knapweeddock.entry.agentlink import AgentLink
+from knapweeddock.entry.dispatchloop import TICK_S, DispatchLoop
+from knapweeddock.entry.entrymetrics import EntryMetrics
+from knapweeddock.entry.handling import RequestHandling
+from knapweeddock.entry.httpclient import HttpClient
+from knapweeddock.entry.httpserver import HttpServer
+from knapweeddock.entry.intake import Intake
+from knapweeddock.entry.lending import LendingClient, LendingServer
+from knapweeddock.entry.ports import BoundPort, bind_port
+from knapweeddock.entry.prober import Prober
+from knapweeddock.entry.sending import Sender
+from knapweeddock.events import DrainStarted
+from knapweeddock.handover import TAKEOVER_DELAY_S
+from knapweeddock.idempotency import KeyTable
+from knapweeddock.ids import Incarnation, new_id
+from knapweeddock.model import DEFAULT_LOOKUP_LIFETIME_MS
+from knapweeddock.settings import EntrySettings
+from knapweeddock.slotcapacity import SlotCapacity
+from knapweeddock.state import MemberState, NodeState
+from knapweeddock.tracing import Tracing
+
+log = structlog.get_logger(__name__)
+
+LOOKUP_MARGIN_S = 1.0
+"""Time added to the lifetime of look-up answers before requests are refused."""
+
+FIRST_PROBES_S = 2.0
+"""Longest wait for the first probes before requests are taken."""
+
+STATE_CHECK_S = 0.2
+POLL_S = 0.02
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryPorts:
+    """The bound ports of the process."""
+
+    public: BoundPort
+    internal: BoundPort
+    lending: BoundPort
+    metrics: BoundPort
+
+
+class EntryService(Service):
+    """The entry process.
+
+    Attributes:
+        ports: The bound ports; set by the start.
+        marked_down: Set when peers recorded this incarnation as gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        takeover_delay_s: float = TAKEOVER_DELAY_S,
+    ) -> None:
+        super().__init__()
+        self.takeover_delay_s = takeover_delay_s
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.rng = rng or random.Random()
+        self.incarnation = Incarnation(new_id())
+        self.marked_down = asyncio.Event()
+        self.ports: EntryPorts | None = None
+
+    async def on_start(self) -> None:
+        """Bind the ports, build the parts and start them."""
+        self.ports = self._bind()
+        self.metrics = EntryMetrics(vm=self.settings.vm)
+        self.tracing = Tracing(
+            settings=self.settings.tracing, process="knapweed-entry", vm=self.settings.vm
+        )
+        self._build_dispatch()
+        self._build_clients()
+        self._build_servers()
+        for part in self.parts:
+            await self.add_runtime_dependency(part)
+        log.info(
+            "entry started",
+            incarnation=self.incarnation,
+            public=self.ports.public.address,
+            internal=self.ports.internal.address,
+        )
+
+    async def on_shutdown(self) -> None:
+        """Close the connections to other processes and export the last spans."""
+        await self.sender.close()
+        await self.http.close()
+        self.lending_client.close()
+        await asyncio.to_thread(self.tracing.close)
+
+    def _bind(self) -> EntryPorts:
+        listen = self.settings.listen
+        return EntryPorts(
+            public=bind_port(listen.host, listen.public),
+            internal=bind_port(listen.host, listen.internal),
+            lending=bind_port(listen.host, listen.lending),
+            metrics=bind_port(listen.host, listen.metrics),
+        )
+
+    def _build_dispatch(self) -> None:
+        limits = self.settings.limits
+        keys = KeyLimits(
+            max_keys=limits.key_limit,
+            max_key_life_s=limits.max_key_life_s,
+            max_answer_bytes=limits.kept_answer_limit,
+        )
+        self.capacity = SlotCapacity(
+            vm=self.settings.vm,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            internal_address=self.ports.internal.address,
+            now=self.clock.monotonic(),
+            rng=self.rng,
+            takeover_delay_s=self.takeover_delay_s,
+        )
+        dispatcher = Dispatcher(
+            settings=DispatchSettings(max_queue=limits.queue_limit, keys=keys),
+            capacity=self.capacity,
+            idempotency=KeyTable(incarnation=self.incarnation, clock=self.clock, limits=keys),
+            rng=self.rng,
+            vm=self.settings.vm,
+            failure_domain=self.settings.failure_domain,
+        )
+        self.loop_service = DispatchLoop(
+            dispatcher=dispatcher, clock=self.clock, metrics=self.metrics
+        )
+
+    def _build_clients(self) -> None:
+        limits = self.settings.limits
+        self.http = HttpClient(
+            buffer_limit=limits.buffer_limit,
+            header_limit=limits.header_limit,
+            connect_timeout_s=limits.connect_timeout_s,
+        )
+        self.lending_client = LendingClient(timeout_s=limits.borrow_timeout_s)
+        self.sender = Sender(
+            loop=self.loop_service,
+            http=self.http,
+            lending=self.lending_client,
+            clock=self.clock,
+            tracing=self.tracing,
+            metrics=self.metrics,
+        )
+        self.loop_service.carrier = self.sender
+        self.prober = Prober(
+            loop=self.loop_service,
+            failure_domain=self.settings.failure_domain,
+            interval_s=limits.probe_interval_s,
+            timeout_s=limits.probe_timeout_s,
+            clock=self.clock,
+        )
+        self.link = AgentLink(
+            loop=self.loop_service,
+            vm=self.settings.vm,
+            incarnation=self.incarnation,
+            agent=self.settings.agent,
+            silence_s=limits.agent_silence_s,
+            rng=self.rng,
+            listeners=[self.prober.update, self._drop_unused_connections],
+        )
+        self.link.public_address = self.ports.public.address
+        self.link.internal_address = self.ports.internal.address
+        self.link.lending_address = self.ports.lending.address
+
+    def _build_servers(self) -> None:
+        limits = self.settings.limits
+        self.handling = RequestHandling(
+            loop=self.loop_service,
+            intake=Intake(limits=limits),
+            tracing=self.tracing,
+            metrics=self.metrics,
+            clock=self.clock,
+            incarnation=self.incarnation,
+            request_limit=limits.request_limit,
+        )
+        self.lending_server = LendingServer(port=self.ports.lending, loop=self.loop_service)
+        handlers = {
+            self.ports.public: self.handling.public,
+            self.ports.internal: self.handling.internal,
+            self.ports.metrics: self.metrics.process.handle,
+        }
+        servers = [
+            HttpServer(port=port, handler=handler, header_limit=limits.header_limit)
+            for port, handler in handlers.items()
+        ]
+        # Parts stop in the opposite order: the servers before the dispatch loop.
+        self.parts = [
+            self.loop_service,
+            self.prober,
+            self.lending_server,
+            *servers,
+            self.link,
+        ]
+
+    def _drop_unused_connections(self, state: NodeState) -> None:
+        servers = {
+            server.address
+            for site in state.config.sites.values()
+            for server in site.servers.values()
+        }
+        entries = {member.internal_address for member in state.members.values()}
+        self.http.keep_only(servers | entries)
+        self.lending_client.keep_only({member.lending_address for member in state.members.values()})
+
+    @Service.task
+    async def join(self) -> None:
+        """Take requests as soon as there is a configuration and servers were probed.
+
+        The slot accounting uses no slot before ``takeover_delay_s`` has passed
+        since the start; an earlier change to ``serving`` would only take slots
+        from the other members that nobody may use yet.
+        """
+        usable_at = self.clock.monotonic() + self.takeover_delay_s * (1 + CLOCK_DRIFT)
+        await self.loop_service.configured.wait()
+        try:
+            async with asyncio.timeout(FIRST_PROBES_S):
+                await self.prober.first_round.wait()
+        except TimeoutError:
+            log.warning("first probes are late; taking requests without them")
+        await asyncio.sleep(usable_at - self.clock.monotonic())
+        if self.handling.member_state is MemberState.JOINING:
+            self._set_state(MemberState.SERVING)
+
+    @Service.task
+    async def watch_own_record(self) -> None:
+        """Notice when peers have recorded this process as gone."""
+        async for _ in self.itertimer(STATE_CHECK_S):
+            if self.capacity.marked_down:
+                log.error("this incarnation is marked down; finishing what runs")
+                self.marked_down.set()
+                return
+
+    # Stopping
+
+    async def drain(self) -> None:
+        """Stop in the order of section 5.4 of the design page.
+
+        The caller stops the service afterwards.
+        """
+        was_serving = self.handling.member_state is MemberState.SERVING
+        self._set_state(MemberState.LEAVING)
+        self.lending_server.stopping = True
+        if was_serving:
+            await asyncio.sleep(self._lookup_lifetime_s() + LOOKUP_MARGIN_S)
+        await self.finish_running()
+        self._set_state(MemberState.LEFT)
+        await self.link.report_now()
+
+    async def finish_running(self) -> None:
+        """Refuse new requests and wait, within a limit, for the running ones."""
+        self.lending_server.stopping = True
+        self.handling.closing = True
+        self.loop_service.post(DrainStarted())
+        try:
+            async with asyncio.timeout(self.settings.limits.stop_limit_s):
+                async for _ in self.itertimer(POLL_S):
+                    if not self._is_busy():
+                        break
+        except TimeoutError:
+            log.error("requests still run at the limit of the stop", active=self.handling.active)
+        # One more tick lets the slots settle before the last report.
+        await asyncio.sleep(2 * TICK_S)
+
+    def _is_busy(self) -> bool:
+        grants_end = self.loop_service.last_grant_end * (1 + CLOCK_DRIFT)
+        return bool(
+            self.handling.active
+            or self.sender.attempts
+            or self.loop_service.gone
+            or not self.loop_service.queue.empty()
+            or self.clock.monotonic() < grants_end
+        )
+
+    def _lookup_lifetime_s(self) -> float:
+        state = self.loop_service.node_state
+        lifetime_ms = DEFAULT_LOOKUP_LIFETIME_MS
+        if state is not None:
+            lifetime_ms = state.config.lookup.lifetime_ms
+        return lifetime_ms / 1000
+
+    def _set_state(self, member_state: MemberState) -> None:
+        log.info("state changed", state=member_state.value)
+        self.handling.member_state = member_state
+        self.link.set_state(member_state)
--- /dev/null
+++ b/tests/entry/support.py
@@ -0,0 +1,197 @@
+"""Backend servers, configurations and entry processes for the tests on loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from knapweeddock.entry.service import EntryService
+from knapweeddock.model import BackendServer, Config, RequestClass, Service, Site
+from knapweeddock.settings import EntryLimits, EntryListen, EntrySettings
+from knapweeddock.state import Member, MemberState, NodeState
+
+CLOSED_ADDRESS = "127.0.0.1:1"
+
+
+@dataclass
+class RawBackend:
+    """A server that speaks HTTP byte by byte; ``script`` decides what it does.
+
+    The script gets the number of the request, its head and body, and the
+    writer; it returns whether the connection stays open.
+    """
+
+    script: object
+    heads: list[str] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    closed: int = 0
+    address: str = ""
+    tasks: set = field(default_factory=set)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        self.tasks.add(asyncio.current_task())
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                path = head.split()[1]
+                length = header_of(head, "content-length")
+                body = await reader.readexactly(int(length or 0))
+                if path in ("/health", "/load"):
+                    writer.write(answer(b'{"status": "ok", "in_flight": 0}'))
+                    continue
+                self.heads.append(head)
+                self.bodies.append(body)
+                if not await self.script(len(self.heads), head, body, writer):
+                    return
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            writer.close()
+
+
+def header_of(head, name):
+    for line in head.split("\r\n")[1:]:
+        key, _, value = line.partition(":")
+        if key.lower() == name:
+            return value.strip()
+    return None
+
+
+def answer(body=b"ok", *, status="200 OK", headers=()):
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+@asynccontextmanager
+async def backend(script):
+    server_state = RawBackend(script)
+    server = await asyncio.start_server(server_state.serve, "127.0.0.1", 0)
+    server_state.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield server_state
+    finally:
+        server.close()
+        for task in server_state.tasks:
+            task.cancel()
+
+
+async def ok(number, head, body, writer):
+    writer.write(answer(b"ok"))
+    return True
+
+
+def config_of(addresses, *, deadline_ms=2000, failure_domain="d1"):
+    classes = {
+        "read": RequestClass(
+            methods=["GET", "HEAD"],
+            path_prefix="/",
+            idempotent=True,
+            pool="p",
+            deadline_ms=deadline_ms,
+        ),
+        "write": RequestClass(
+            methods=["POST", "PUT", "DELETE"],
+            path_prefix="/",
+            idempotent=False,
+            pool="p",
+            deadline_ms=deadline_ms,
+        ),
+        "bulk": RequestClass(
+            methods=["GET"],
+            path_prefix="/bulk",
+            idempotent=True,
+            pool="p",
+            streaming=True,
+            deadline_ms=deadline_ms,
+        ),
+    }
+    servers = {f"s{n}": BackendServer(address=a) for n, a in enumerate(addresses)}
+    site = Site(pool="p", failure_domain=failure_domain, servers=servers)
+    return Config(
+        services={"ledger": Service(hosts=["ledger.test"], classes=classes)},
+        sites={"p-d1": site},
+    )
+
+
+def member_of(service, state=MemberState.SERVING):
+    return Member(
+        vm=service.settings.vm,
+        failure_domain=service.settings.failure_domain,
+        incarnation=service.incarnation,
+        state=state,
+        public_address=service.ports.public.address,
+        internal_address=service.ports.internal.address,
+        lending_address=service.ports.lending.address,
+    )
+
+
+def settings_of(*, vm="vm1", failure_domain="d1", agent=CLOSED_ADDRESS, **limits):
+    return EntrySettings(
+        vm=vm,
+        failure_domain=failure_domain,
+        listen=EntryListen(host="127.0.0.1"),
+        agent=agent,
+        limits=EntryLimits(**limits),
+    )
+
+
+def feed(service, config, *others, version=1, **fields):
+    """Hand a snapshot over as the link to the agent does."""
+    members = {m.vm: m for m in (member_of(service), *others)}
+    state = NodeState(config_version=version, config=config, members=members, **fields)
+    service.loop_service.update(state)
+    for listener in service.link.listeners:
+        listener(state)
+
+
+@asynccontextmanager
+async def entry(config=None, *, settings=None, wait=True):
+    service = EntryService(settings=settings or settings_of(), takeover_delay_s=0.0)
+    await service.start()
+    try:
+        if config is not None:
+            feed(service, config)
+        if wait:
+            await until(lambda: service.handling.member_state is MemberState.SERVING)
+        yield service
+    finally:
+        await service.stop()
+
+
+async def until(condition, limit_s=10):
+    async with asyncio.timeout(limit_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+
+
+class Caller:
+    """A caller of one entry."""
+
+    def __init__(self, service):
+        self.service = service
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        await self.session.close()
+
+    def key(self, name="k1", *, life_ms=60_000, incarnation=None):
+        return {
+            "Idempotency-Key": name,
+            "Knapweed-Incarnation": incarnation or self.service.incarnation,
+            "Knapweed-Not-After": str(int(self.service.clock.wall() * 1000) + life_ms),
+        }
+
+    def request(self, method, path, *, headers=None, **options):
+        url = f"http://{self.service.ports.public.address}{path}"
+        return self.session.request(
+            method, url, headers={"Host": "ledger.test", **(headers or {})}, **options
+        )
