--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -1,7 +1,7 @@
 """Backend servers, configurations and entry processes for the tests on loopback."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -195,3 +195,30 @@
         return self.session.request(
             method, url, headers={"Host": "ledger.test", **(headers or {})}, **options
         )
+
+
+@dataclass
+class Serving:
+    servers: list
+    service: EntryService
+    caller: Caller
+
+    @property
+    def server(self):
+        return self.servers[0]
+
+    async def send(self, method, path="/x", **options):
+        """Send a request and return the response, with its body read, and the body."""
+        async with self.caller.request(method, path, **options) as response:
+            return response, await response.read()
+
+
+@asynccontextmanager
+async def serving(*scripts, deadline_ms=2000, addresses=(), **limits):
+    """Run an entry in front of scripted servers, with a caller."""
+    async with AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(backend(script)) for script in scripts]
+        config = config_of([*(s.address for s in servers), *addresses], deadline_ms=deadline_ms)
+        service = await stack.enter_async_context(entry(config, settings=settings_of(**limits)))
+        caller = await stack.enter_async_context(Caller(service))
+        yield Serving(servers, service, caller)
--- a/tests/entry/test_proxy.py
+++ b/tests/entry/test_proxy.py
@@ -1,13 +1,278 @@
-from tests.entry.support import Caller, backend, config_of, entry, ok
+import asyncio
+import json
+
+import pytest
+
+from tests.entry.support import CLOSED_ADDRESS, answer, ok, serving, until
+
+SHED = answer(b"busy", status="503 Shed", headers=["Backend-Not-Run: 1", "Retry-After: 1"])
+
+
+async def close_unread(number, head, body, writer):
+    return False
+
+
+async def silent(number, head, body, writer):
+    await asyncio.Event().wait()
+
+
+async def shed(number, head, body, writer):
+    writer.write(SHED)
+    return True
+
+
+async def short_length(number, head, body, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this")
+    return False
+
+
+async def short_chunks(number, head, body, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+    return False
+
+
+async def no_length(number, head, body, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nthe end or a crash")
+    return False
+
+
+async def garbage(number, head, body, writer):
+    writer.write(b"\x00\x01\x02 not HTTP\r\n\r\n")
+    return False
+
+
+async def exchange(script, method, *, deadline_ms=2000, **options):
+    """Send one request to an entry in front of a scripted server."""
+    async with serving(script, deadline_ms=deadline_ms) as run:
+        headers = run.caller.key() if method in ("POST", "PUT", "DELETE") else {}
+        return run.server, *await run.send(method, headers=headers, **options)
 
 
 async def test_a_request_is_proxied_end_to_end():
     """Guards against a request or answer that is changed on its way."""
-    async with backend(ok) as server, entry(config_of([server.address])) as service:
-        async with Caller(service) as caller, caller.request("GET", "/a%20b?x=1") as response:
+
+    async def script(number, head, body, writer):
+        headers = ["Set-Cookie: a=1", "Set-Cookie: b=2", "X-Hop: 1", "Connection: X-Hop"]
+        writer.write(answer(b"\x1f\x8bzip", status="201 Made", headers=headers))
+        return True
+
+    sent = {"Connection": "X-Gone", "X-Gone": "1", "Backend-Deadline-Ms": "9", "X-Kept": "\xe4"}
+    async with serving(script) as run:
+        headers = {**sent, **run.caller.key()}
+        response, body = await run.send("PUT", "/a%20b?x=1", headers=headers, data=b"in")
+    assert (response.status, response.reason) == (201, "Made")
+    assert body == b"\x1f\x8bzip"
+    assert response.headers.getall("Set-Cookie") == ["a=1", "b=2"]
+    assert "X-Hop" not in response.headers
+    assert response.headers["Knapweed-Result"] == "0"
+    assert response.headers["Knapweed-Outcome"] == "complete"
+    server = run.server
+    head = server.heads[0]
+    assert head.startswith("PUT /a%20b?x=1 HTTP/1.1\r\n")
+    assert server.bodies == [b"in"]
+    assert "Host: ledger.test" in head
+    assert "X-Kept: \xe4" in head
+    assert "X-Gone" not in head
+    assert "Knapweed-" not in head
+    assert head.count("Backend-Deadline-Ms") == 1
+    assert "Backend-Deadline-Ms: 9\r" not in head
+
+
+async def test_head_and_bodyless_answers_pass_through():
+    """Guards against a wrong length or a hanging read without a body."""
+
+    async def script(number, head, body, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n")
+        return True
+
+    _, response, body = await exchange(script, "HEAD")
+    assert (response.headers["Content-Length"], body) == ("77", b"")
+
+    async def empty(number, head, body, writer):
+        writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        return True
+
+    _, response, body = await exchange(empty, "GET")
+    assert (response.status, body) == (204, b"")
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+async def test_a_non_idempotent_request_is_sent_once_when_the_server_closes(method):
+    """Guards against aiohttp's own repetition, which covers PUT and DELETE."""
+    server, response, body = await exchange(close_unread, method, data=b"charge")
+    assert len(server.heads) == 1
+    assert response.status == 502
+    assert json.loads(body)["code"] == 201
+    assert response.headers["Knapweed-Outcome"] == "unknown"
+
+
+async def test_an_idempotent_request_is_repeated_by_the_dispatcher_only():
+    """Guards against hidden repetitions that evade the retry budget."""
+    server, response, _ = await exchange(close_unread, "GET")
+    assert len(server.heads) == 1
+    assert response.headers["Knapweed-Outcome"] == "unknown"
+
+
+@pytest.mark.parametrize("script", [short_length, short_chunks, no_length, garbage])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_an_incomplete_answer_is_never_passed_on(script, method):
+    """Guards against a truncated answer that looks complete to the caller."""
+    server, response, body = await exchange(script, method)
+    assert response.headers["Knapweed-Outcome"] == "unknown"
+    assert json.loads(body)["code"] == 205
+    assert len(server.heads) == 1
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_refused_connection_is_not_run(method):
+    """Guards against an unknown outcome when provably nothing was sent."""
+    async with serving(addresses=[CLOSED_ADDRESS]) as run:
+        response, _ = await run.send(method, headers=run.caller.key())
+    assert response.headers["Knapweed-Outcome"] == "not-run"
+    assert "Retry-After" in response.headers
+
+
+async def test_a_shed_request_moves_to_another_server():
+    """Guards against giving up a request that was explicitly not started."""
+    async with serving(shed, ok) as run:
+        for number in range(3):
+            response, _ = await run.send("POST", headers=run.caller.key(f"k{number}"))
+            assert response.status == 200
+    assert len(run.servers[1].heads) == 3
+
+
+async def test_a_request_shed_by_all_is_not_run():
+    """Guards against passing a server's 503 on as an answer of the work."""
+    _, response, body = await exchange(shed, "POST")
+    assert response.headers["Knapweed-Outcome"] == "not-run"
+    assert json.loads(body)["code"] == 117
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_silent_connection_is_bounded_and_closed(method):
+    """Guards against waiting for ever and against reusing an abandoned connection."""
+    server, response, body = await exchange(silent, method, deadline_ms=150)
+    assert (response.status, json.loads(body)["code"]) == (504, 202)
+    assert len(server.heads) == 1
+
+
+async def test_the_pool_is_dropped_after_a_silent_attempt():
+    """Guards against more requests on connections to a server that went silent."""
+
+    async def script(number, head, body, writer):
+        return await (silent if "/silent" in head else ok)(number, head, body, writer)
+
+    async with serving(script) as run:
+        for path in ("/a", "/b"):
+            assert (await run.send("GET", path))[0].status == 200
+        pool = run.service.http.pools[run.server.address]
+        headers = {"Knapweed-Deadline-Ms": "100"}
+        assert (await run.send("GET", "/silent", headers=headers))[0].status == 504
+        assert run.server.address not in run.service.http.pools
+        await until(lambda: pool.session.closed)
+
+
+async def test_connections_are_reused_for_idempotent_requests_only():
+    """Guards against a non-idempotent request on a connection that may be silent."""
+    async with serving(ok) as run:
+
+        async def new_connections(method, key):
+            before = run.server.connections
+            response, _ = await run.send(method, headers=run.caller.key(key))
             assert response.status == 200
-            assert await response.read() == b"ok"
-            assert response.headers["Knapweed-Result"] == "0"
-            assert response.headers["Knapweed-Outcome"] == "complete"
-        assert server.heads[0].startswith("GET /a%20b?x=1 HTTP/1.1")
-        assert "Host: ledger.test" in server.heads[0]
+            return run.server.connections - before
+
+        assert [await new_connections("GET", "") for _ in range(3)] == [1, 0, 0]
+        assert [await new_connections("PUT", f"k{n}") for n in range(3)] == [1, 1, 1]
+
+
+async def test_late_data_on_an_idle_connection_is_not_the_next_answer():
+    """Guards against crossed answers: a second answer to an earlier request."""
+    late = asyncio.Event()
+
+    async def script(number, head, body, writer):
+        writer.write(answer(b"answer %d" % number))
+        if number == 1:
+            await late.wait()
+            writer.write(answer(b"late"))
+        return True
+
+    async with serving(script) as run:
+        assert (await run.send("GET"))[1] == b"answer 1"
+        late.set()
+        pool = run.service.http.pools[run.server.address]
+        (waiting,) = pool.session.connector._conns.values()
+        await until(lambda: waiting[0][0].should_close)
+        assert (await run.send("GET"))[1] == b"answer 2"
+
+
+async def test_the_caller_leaving_cancels_idempotent_work_only():
+    """Guards against slots held for nobody, and against cancelling a charge."""
+    release = asyncio.Event()
+
+    async def script(number, head, body, writer):
+        await release.wait()
+        writer.write(answer(b"done"))
+        return True
+
+    async with serving(script) as run:
+        headers = run.caller.key()
+        for method in ("GET", "POST"):
+            call = asyncio.ensure_future(run.send(method, headers=headers))
+            await until(lambda: run.service.sender.attempts)
+            call.cancel()
+            await asyncio.wait([call])
+            await until(lambda: not run.service.loop_service.pending)
+        await until(lambda: len(run.service.sender.attempts) == 1)
+        release.set()
+        assert (await run.send("POST", headers=headers))[1] == b"done"
+    assert len(run.server.heads) == 2
+
+
+async def test_an_answer_over_the_buffer_is_refused_unless_streaming():
+    """Guards against a streamed answer of a class that may not be streamed."""
+
+    async def script(number, head, body, writer):
+        writer.write(answer(b"x" * 5000))
+        return True
+
+    async with serving(script, buffer_limit=1000) as run:
+        _, body = await run.send("POST", headers=run.caller.key())
+        assert json.loads(body)["code"] == 205
+        response, body = await run.send("GET", "/bulk")
+        assert body == b"x" * 5000
+        assert response.headers["Content-Length"] == "5000"
+
+
+@pytest.mark.parametrize("version", ["HTTP/1.0", "HTTP/1.1"])
+@pytest.mark.parametrize("framing", ["Content-Length: 9000", "Transfer-Encoding: chunked"])
+async def test_a_broken_stream_resets_the_callers_connection(version, framing):
+    """Guards against a truncated download that ends like a complete one."""
+
+    async def script(number, head, body, writer):
+        part = b"x" * 5000
+        sized = part if "Length" in framing else b"1388\r\n" + part + b"\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{framing}\r\n\r\n".encode() + sized)
+        return False
+
+    async with serving(script, buffer_limit=1000) as run:
+        host, port = run.service.ports.public.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"GET /bulk {version}\r\nHost: ledger.test\r\n\r\n".encode())
+        with pytest.raises(ConnectionResetError):
+            await reader.read(-1)
+        writer.close()
+        await until(lambda: not run.service.loop_service.pending)
+
+
+async def test_a_draining_answer_keeps_new_work_away():
+    """Guards against new work on a server that said it is leaving."""
+
+    async def script(number, head, body, writer):
+        writer.write(answer(b"bye", headers=["Backend-Draining: 1"]))
+        return True
+
+    async with serving(script, ok) as run:
+        for _ in range(8):
+            assert (await run.send("GET"))[0].status == 200
+    assert len(run.servers[0].heads) <= 1
