--- /dev/null
+++ b/knapweeddock/records.py
@@ -0,0 +1,292 @@
+"""Versioned records: merge, buckets and digests that are kept incrementally.
+
+A record has one key and one writer; the one with the highest (start time of
+the writer, version) wins. Records are grouped in buckets: one per failure
+domain for records that spread everywhere, and one per failure domain, named
+with the suffix ``/local``, for records that only its own members need.
+Digests are XORs of hashes, so that one merge changes them in constant time.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import xxhash
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.errors import MessageError
+from knapweeddock.ids import FailureDomainId, Incarnation, VmId
+from knapweeddock.proto.knapweed_pb2 import KeyVersion, Record
+from knapweeddock.state import MemberState
+
+MAX_RECORDS = 50_000
+"""Largest number of records kept; 5,500 members need about 6,000."""
+
+MAX_NAME_LENGTH = 256
+"""Longest id or address in a record, in characters."""
+
+MAX_RECORD_BYTES = 65_536
+"""Largest encoded record that is accepted from a peer."""
+
+DROP_MEMORY_S = 3600.0
+"""Time for which the version of a dropped record is remembered, so that a
+peer that has not dropped it yet cannot bring it back. It exceeds the
+differences between the times at which peers drop a record."""
+
+LOCAL_SUFFIX = "/local"
+
+
+class RecordKind(Enum):
+    """Kind of a record; the value is the name of its payload field."""
+
+    MEMBER = "member"
+    DETAIL = "detail"
+    DOWN = "down"
+    LEAVING = "leaving"
+
+
+_LOCAL_KINDS = frozenset({RecordKind.DETAIL, RecordKind.LEAVING})
+
+
+def member_key(vm: VmId) -> str:
+    """Return the key of a VM's member record."""
+    return f"member/{vm}"
+
+
+def detail_key(vm: VmId) -> str:
+    """Return the key of a VM's detail record."""
+    return f"detail/{vm}"
+
+
+def down_key(vm: VmId, incarnation: Incarnation) -> str:
+    """Return the key of the evidence against one incarnation."""
+    return f"down/{vm}/{incarnation}"
+
+
+def leaving_key(failure_domain: FailureDomainId) -> str:
+    """Return the key of a failure domain's copy of the VM list's leaving VMs."""
+    return f"leaving/{failure_domain}"
+
+
+def kind_of(record: Record) -> RecordKind:
+    """Return the kind of ``record``.
+
+    Raises:
+        MessageError: The payload is missing or of a kind that is not known.
+    """
+    payload = record.WhichOneof("payload")
+    if payload is None or payload == "config":
+        raise MessageError(
+            f"record {record.key[:MAX_NAME_LENGTH]!r} has no known payload; "
+            f"allowed: {', '.join(kind.value for kind in RecordKind)}",
+            code=ResultCode.UNKNOWN_MESSAGE,
+        )
+    return RecordKind(payload)
+
+
+def bucket_of(record: Record) -> str:
+    """Return the name of the bucket that ``record`` belongs to."""
+    if kind_of(record) in _LOCAL_KINDS:
+        return record.failure_domain + LOCAL_SUFFIX
+    return record.failure_domain
+
+
+def local_bucket(failure_domain: str) -> str:
+    """Return the bucket of records that stay inside ``failure_domain``."""
+    return failure_domain + LOCAL_SUFFIX
+
+
+def _expected_key(record: Record, kind: RecordKind) -> str:
+    match kind:
+        case RecordKind.MEMBER:
+            return member_key(VmId(record.member.vm))
+        case RecordKind.DETAIL:
+            return detail_key(VmId(record.detail.vm))
+        case RecordKind.DOWN:
+            down = record.down
+            return down_key(VmId(down.vm), Incarnation(down.entry_incarnation))
+        case RecordKind.LEAVING:
+            return leaving_key(FailureDomainId(record.failure_domain))
+
+
+def check_record(record: Record) -> None:
+    """Check a record of a peer before it is merged.
+
+    Raises:
+        MessageError: The record is malformed (501) or of an unknown kind (502).
+    """
+    kind = kind_of(record)
+    if not record.failure_domain or LOCAL_SUFFIX in record.failure_domain:
+        raise MessageError(f"record {record.key!r}: failure domain is empty or malformed")
+    if record.key != _expected_key(record, kind):
+        raise MessageError(f"record {record.key!r} does not match its payload of kind {kind.value}")
+    if len(record.key) > 2 * MAX_NAME_LENGTH or record.ByteSize() > MAX_RECORD_BYTES:
+        raise MessageError(f"record of {record.ByteSize()} bytes is too large")
+    if not record.version:
+        raise MessageError(f"record {record.key!r}: version is 0; the first version is 1")
+    if kind is RecordKind.MEMBER:
+        _check_member(record)
+
+
+def _check_member(record: Record) -> None:
+    member = record.member
+    known = {state.value for state in MemberState}
+    if member.state not in known:
+        raise MessageError(f"record {record.key!r}: state {member.state!r} is not known")
+    if member.failure_domain != record.failure_domain:
+        raise MessageError(f"record {record.key!r}: payload names another failure domain")
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Stamp:
+    """What decides which of two records with the same key wins."""
+
+    start_ms: int
+    version: int
+    incarnation: str = ""
+
+
+def stamp_of(record: Record) -> Stamp:
+    """Return the stamp of ``record``."""
+    return Stamp(record.incarnation_start_ms, record.version, record.incarnation)
+
+
+@dataclass(slots=True)
+class _Dropped:
+    stamp: Stamp
+    until: float
+
+
+@dataclass
+class _Bucket:
+    digest: int = 0
+    keys: set[str] = field(default_factory=set)
+
+
+def _record_hash(record: Record) -> int:
+    text = f"{record.key}\0{record.incarnation_start_ms}\0{record.version}"
+    return xxhash.xxh64_intdigest(text)
+
+
+def _bucket_hash(name: str, digest: int) -> int:
+    return xxhash.xxh64_intdigest(f"{name}\0{digest}") if digest else 0
+
+
+class RecordStore:
+    """The records that one agent holds.
+
+    Attributes:
+        records: Records by key; callers must not change them.
+        root: Digest of all buckets that spread everywhere.
+    """
+
+    def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
+        self.records: dict[str, Record] = {}
+        self.root = 0
+        self.max_records = max_records
+        self._buckets: dict[str, _Bucket] = {}
+        self._dropped: dict[str, _Dropped] = {}
+
+    def merge(self, record: Record) -> bool:
+        """Take ``record`` if it is newer than what is held.
+
+        Args:
+            record: A checked record; the store keeps the object.
+
+        Returns:
+            Whether the store changed.
+
+        Raises:
+            MessageError: The store is full (308) and the key is new.
+        """
+        present = self.records.get(record.key)
+        stamp = stamp_of(record)
+        if present is not None and stamp_of(present) >= stamp:
+            return False
+        dropped = self._dropped.get(record.key)
+        if dropped is not None and dropped.stamp >= stamp:
+            return False
+        if present is None and len(self.records) >= self.max_records:
+            raise MessageError(
+                f"record table is full ({self.max_records} records)", code=ResultCode.TOO_LARGE
+            )
+        if present is not None:
+            self._remove(present)
+        self._add(record)
+        return True
+
+    def _add(self, record: Record) -> None:
+        name = bucket_of(record)
+        bucket = self._buckets.setdefault(name, _Bucket())
+        self.records[record.key] = record
+        bucket.keys.add(record.key)
+        self._change_digest(name, bucket, _record_hash(record))
+
+    def _remove(self, record: Record) -> None:
+        name = bucket_of(record)
+        bucket = self._buckets[name]
+        del self.records[record.key]
+        bucket.keys.discard(record.key)
+        self._change_digest(name, bucket, _record_hash(record))
+        if not bucket.keys:
+            del self._buckets[name]
+
+    def _change_digest(self, name: str, bucket: _Bucket, change: int) -> None:
+        is_global = not name.endswith(LOCAL_SUFFIX)
+        if is_global:
+            self.root ^= _bucket_hash(name, bucket.digest)
+        bucket.digest ^= change
+        if is_global:
+            self.root ^= _bucket_hash(name, bucket.digest)
+
+    def drop(self, key: str, now: float) -> None:
+        """Remove a record and refuse its version for ``DROP_MEMORY_S``."""
+        record = self.records.get(key)
+        if record is None:
+            return
+        self._remove(record)
+        self._dropped[key] = _Dropped(stamp_of(record), now + DROP_MEMORY_S)
+
+    def forget_dropped(self, now: float) -> None:
+        """Forget the versions of records that were dropped long ago."""
+        expired = [key for key, dropped in self._dropped.items() if dropped.until <= now]
+        for key in expired:
+            del self._dropped[key]
+
+    def digest(self, bucket: str) -> int:
+        """Return the digest of a bucket, 0 when it is empty."""
+        held = self._buckets.get(bucket)
+        return held.digest if held else 0
+
+    def global_digests(self) -> dict[str, int]:
+        """Return the digests of the buckets that spread everywhere."""
+        return {
+            name: bucket.digest
+            for name, bucket in self._buckets.items()
+            if not name.endswith(LOCAL_SUFFIX)
+        }
+
+    def keys_in(self, bucket: str) -> list[str]:
+        """Return the keys of a bucket in a fixed order."""
+        held = self._buckets.get(bucket)
+        return sorted(held.keys) if held else []
+
+    def versions_in(self, bucket: str) -> list[KeyVersion]:
+        """Return what is held in a bucket, for a comparison."""
+        versions = []
+        for key in self.keys_in(bucket):
+            record = self.records[key]
+            versions.append(
+                KeyVersion(
+                    key=key,
+                    incarnation_start_ms=record.incarnation_start_ms,
+                    version=record.version,
+                )
+            )
+        return versions
+
+    def dropped_at_least(self, key: str, start_ms: int, version: int) -> bool:
+        """Return whether a version of ``key`` this new was dropped here."""
+        dropped = self._dropped.get(key)
+        if dropped is None:
+            return False
+        return (dropped.stamp.start_ms, dropped.stamp.version) >= (start_ms, version)
--- /dev/null
+++ b/knapweeddock/spread.py
@@ -0,0 +1,307 @@
+"""How records and configuration reach every node: push trees and comparisons.
+
+A change is pushed at once: along a tree in the own failure domain and to one
+agent of every other domain. Comparisons with random peers repair what pushes
+lost. A comparison has two rounds: the first carries versions and digests
+only and ends there when both are equal; the second names the versions held
+in the buckets that differ. What the replier lacks is then pushed to it.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.confighistory import ConfigHistory, Progress
+from knapweeddock.errors import MessageError
+from knapweeddock.ids import FailureDomainId, VmId
+from knapweeddock.membership import SMALL_DOMAIN, MemberTable
+from knapweeddock.proto.knapweed_pb2 import (
+    DomainDigest,
+    ExchangeReply,
+    ExchangeRequest,
+    PushRequest,
+    Record,
+)
+from knapweeddock.records import (
+    LOCAL_SUFFIX,
+    RecordStore,
+    bucket_of,
+    check_record,
+    local_bucket,
+)
+
+WATCHERS = 2
+"""Agents of a domain that watch the platform; the second covers for the first."""
+
+FAN_OUT = 4
+"""Children of a node in a push tree: 5,500 members need at most 4 levels in a domain."""
+
+CONFIG_KEY = "config"
+"""Key of the record that carries a configuration; it is never stored."""
+
+MAX_RECORDS_PER_MESSAGE = 20_000
+"""Largest number of records in one message; a first comparison may carry all."""
+
+MAX_FORWARD = 2_000
+"""Largest number of members that one push may be passed on to."""
+
+
+def rank_by_hash(key: str, vms: Iterable[VmId]) -> list[VmId]:
+    """Return ``vms`` in the order of rendezvous hashing for ``key``."""
+
+    def weight(vm: VmId) -> tuple[int, str]:
+        return (-xxhash.xxh64_intdigest(f"{key}\0{vm}"), vm)
+
+    return sorted(vms, key=weight)
+
+
+def watchers(failure_domain: FailureDomainId, vms: Iterable[VmId]) -> list[VmId]:
+    """Return the agents of a domain that watch the platform."""
+    return rank_by_hash(f"watch\0{failure_domain}", vms)[:WATCHERS]
+
+
+def split_tree(vms: list[VmId]) -> list[list[VmId]]:
+    """Split the members below a node into at most ``FAN_OUT`` subtrees of similar size.
+
+    The first member of each subtree gets the push and passes it on to the rest.
+    """
+    return [vms[start::FAN_OUT] for start in range(min(FAN_OUT, len(vms)))]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PushOrder:
+    """A push to send.
+
+    Attributes:
+        candidates: Receivers in order of preference. The first that answers
+            takes the push.
+        request: The message, without ``forward_to``.
+        pass_on: Whether the candidates after the receiver are its subtree.
+    """
+
+    candidates: list[VmId]
+    request: PushRequest
+    pass_on: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class Taken:
+    """What came of the records of one message.
+
+    Attributes:
+        changed: Records that were new.
+        config: What came of the configuration in it.
+        errors: Problems with single records; the others were taken.
+    """
+
+    changed: list[Record] = field(default_factory=list)
+    config: Progress = Progress.UNCHANGED
+    errors: list[MessageError] = field(default_factory=list)
+
+
+class SpreadNode:
+    """The records, configuration and members of one agent.
+
+    Attributes:
+        vm: The VM of the agent.
+        failure_domain: Its failure domain.
+        store: Its records.
+        history: Its configuration.
+        members: Its view of the members.
+    """
+
+    def __init__(self, *, vm: VmId, failure_domain: FailureDomainId) -> None:
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.store = RecordStore()
+        self.history = ConfigHistory()
+        self.members = MemberTable(vm=vm, failure_domain=failure_domain, store=self.store)
+
+    # Records
+
+    def take(self, records: Iterable[Record], now: float) -> Taken:
+        """Merge the records of a message, each one by itself."""
+        taken = Taken()
+        for position, record in enumerate(records):
+            if position >= MAX_RECORDS_PER_MESSAGE:
+                taken.errors.append(
+                    MessageError("message has too many records", code=ResultCode.TOO_LARGE)
+                )
+                break
+            try:
+                self._take_one(record, taken, now)
+            except MessageError as error:
+                taken.errors.append(error)
+        return taken
+
+    def _take_one(self, record: Record, taken: Taken, now: float) -> None:
+        if record.WhichOneof("payload") == "config":
+            taken.config = self.history.take_record(record.config)
+            return
+        check_record(record)
+        if not self._concerns(bucket_of(record)):
+            return
+        if self.store.merge(record):
+            self.members.observe(record, now)
+            taken.changed.append(record)
+
+    def _concerns(self, bucket: str) -> bool:
+        is_local = bucket.endswith(LOCAL_SUFFIX)
+        return not is_local or bucket == local_bucket(self.failure_domain)
+
+    def config_record(self, version: int) -> list[Record]:
+        """Return the record that brings a node at ``version`` up to date, if it needs one."""
+        missing = self.history.since(version)
+        return [Record(key=CONFIG_KEY, config=missing)] if missing else []
+
+    # Comparison
+
+    def first_request(self) -> ExchangeRequest:
+        """Return the first round of a comparison."""
+        return ExchangeRequest(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            config_version=self.history.version,
+            root=self.store.root,
+            local=self.store.digest(local_bucket(self.failure_domain)),
+        )
+
+    def with_heartbeats(self, request: ExchangeRequest) -> ExchangeRequest:
+        """Add the heartbeat counters, for a peer of the own domain."""
+        request.heartbeats.CopyFrom(self.members.heartbeats.vector())
+        return request
+
+    def answer(self, request: ExchangeRequest, now: float) -> ExchangeReply:
+        """Answer either round of a comparison."""
+        reply = ExchangeReply(config_version=self.history.version)
+        is_neighbour = request.failure_domain == self.failure_domain
+        if request.second_round:
+            self._compare_keys(request, reply)
+            return reply
+        if is_neighbour:
+            self.members.heartbeats.absorb(request.heartbeats, now)
+            reply.heartbeats.CopyFrom(self.members.heartbeats.vector())
+        reply.records.extend(self.config_record(request.config_version))
+        local = self.store.digest(local_bucket(self.failure_domain))
+        if request.root != self.store.root or (is_neighbour and request.local != local):
+            reply.digests.extend(self._digests(with_local=is_neighbour))
+        return reply
+
+    def _digests(self, *, with_local: bool) -> list[DomainDigest]:
+        digests = self.store.global_digests()
+        if with_local:
+            bucket = local_bucket(self.failure_domain)
+            digests[bucket] = self.store.digest(bucket)
+        return [DomainDigest(failure_domain=name, digest=value) for name, value in digests.items()]
+
+    def second_request(self, reply: ExchangeReply, now: float) -> ExchangeRequest | None:
+        """Return the second round, or None when all records are equal."""
+        self.members.heartbeats.absorb(reply.heartbeats, now)
+        theirs = {digest.failure_domain: digest.digest for digest in reply.digests}
+        if not theirs:
+            return None
+        names = set(theirs) | set(self.store.global_digests())
+        differing = sorted(
+            name
+            for name in names
+            if self._concerns(name) and theirs.get(name, 0) != self.store.digest(name)
+        )
+        if not differing:
+            return None
+        request = ExchangeRequest(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            config_version=self.history.version,
+            second_round=True,
+            failure_domains=differing,
+        )
+        for name in differing:
+            request.have.extend(self.store.versions_in(name))
+        return request
+
+    def _compare_keys(self, request: ExchangeRequest, reply: ExchangeReply) -> None:
+        have = {
+            version.key: (version.incarnation_start_ms, version.version) for version in request.have
+        }
+        for name in request.failure_domains:
+            if not self._concerns(name):
+                continue
+            for key in self.store.keys_in(name):
+                record = self.store.records[key]
+                stamp = (record.incarnation_start_ms, record.version)
+                if have.get(key, (0, 0)) < stamp:
+                    reply.records.append(record)
+        for key, stamp in have.items():
+            held = self.store.records.get(key)
+            if held is not None and (held.incarnation_start_ms, held.version) >= stamp:
+                continue
+            if not self.store.dropped_at_least(key, *stamp):
+                reply.wanted.append(key)
+
+    def final_push(self, wanted: Iterable[str], peer_version: int) -> PushRequest | None:
+        """Return what the replier of a comparison lacks, or None."""
+        records = [self.store.records[key] for key in wanted if key in self.store.records]
+        records.extend(self.config_record(peer_version))
+        return PushRequest(vm=self.vm, records=records) if records else None
+
+    def comparison_peers(self, tick: int, rng: random.Random) -> list[VmId]:
+        """Return the members to compare with in one tick of a second.
+
+        Ticks alternate between the own domain and another one. A small domain
+        is compared in every tick, so that heartbeats arrive well within
+        ``SUSPECT_AFTER_S``.
+        """
+        peers = self.members.domain_peers()
+        domains = self.members.foreign_domains()
+        is_small = len(peers) < SMALL_DOMAIN
+        chosen = []
+        if peers and (is_small or tick % 2 == 0 or not domains):
+            chosen.append(rng.choice(peers))
+        if domains and (tick % 2 == 1 or not peers):
+            foreign = self.members.foreign_members(rng.choice(domains))
+            if foreign:
+                chosen.append(rng.choice(foreign))
+        return chosen
+
+    # Push
+
+    def push_everywhere(self, records: list[Record], rng: random.Random) -> list[PushOrder]:
+        """Return the pushes of records that concern every node."""
+        orders = self.push_in_domain(records, rng)
+        request = PushRequest(vm=self.vm, records=records, start_tree=True)
+        for domain in self.members.foreign_domains():
+            candidates = self.members.foreign_members(domain)
+            rng.shuffle(candidates)
+            if candidates:
+                orders.append(PushOrder(candidates=candidates, request=request, pass_on=False))
+        return orders
+
+    def push_in_domain(self, records: list[Record], rng: random.Random) -> list[PushOrder]:
+        """Return the pushes of records along a new tree in the own domain."""
+        peers = self.members.heard_peers()
+        rng.shuffle(peers)
+        silent = sorted(set(self.members.domain_peers()) - set(peers))
+        return self._tree(peers + silent, PushRequest(vm=self.vm, records=records))
+
+    def _tree(self, vms: list[VmId], request: PushRequest) -> list[PushOrder]:
+        return [
+            PushOrder(candidates=subtree, request=request, pass_on=True)
+            for subtree in split_tree(vms)
+        ]
+
+    def pass_on(self, request: PushRequest, taken: Taken, rng: random.Random) -> list[PushOrder]:
+        """Return the pushes that follow from a received one.
+
+        A member below this node in a tree may lack what this node already
+        has, so a tree is always continued; a new one is started only for news.
+        """
+        if request.start_tree:
+            news = list(taken.changed)
+            if taken.config is Progress.ADVANCED:
+                news.extend(record for record in request.records if record.HasField("config"))
+            return self.push_in_domain(news, rng) if news else []
+        vms = [VmId(vm) for vm in request.forward_to[:MAX_FORWARD] if vm != self.vm]
+        return self._tree(vms, PushRequest(vm=self.vm, records=request.records))
