Add the platform clients and the head of configuration changes

ObjectStore and VmList are base classes with an in-memory and an HTTP implementation.

RateLimited gets the attribute retry_after_s, since callers have to know how long to wait. The body of GET /v1/objects?prefix= is left open by the design; it is {"keys": [...]} here.

--- a/knapweeddock/errors.py
+++ b/knapweeddock/errors.py
@@ -47,10 +47,18 @@
 
 
 class RateLimited(StoreError):
-    """The object API refused a call over its rate limit."""
+    """The object API refused a call over its rate limit.
+
+    Attributes:
+        retry_after_s: Seconds to wait before the next call.
+    """
 
     code = ResultCode.RATE_LIMITED
 
+    def __init__(self, message: str, *, retry_after_s: float = 1.0) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
 
 class OutcomeUnknown(StoreError):
     """A write was sent and its answer was lost; it may have taken effect."""
--- /dev/null
+++ b/tests/test_vmlist.py
@@ -0,0 +1,34 @@
+"""The VM list: guards against taking a malformed or missing answer for an empty list."""
+
+import pytest
+
+from knapweeddock.errors import StoreUnavailable
+from knapweeddock.vmlist import HttpVmList, MemoryVmList, VmEntry, VmKind, VmState
+from tests.fake_platform import FakePlatform
+
+LEAVING = VmEntry(
+    id="s1", kind=VmKind.SERVER, state=VmState.LEAVING, failure_domain="d1", address="127.0.0.1"
+)
+
+
+async def test_list_by_http():
+    platform = FakePlatform()
+    platform.vms = [
+        {"id": "s1", "kind": "server", "state": "leaving"}
+        | {"failure_domain": "d1", "address": "127.0.0.1", "later_field": 1}
+    ]
+    async with platform.serve() as url:
+        vms = HttpVmList(url=url)
+        assert await vms.fetch() == [LEAVING]
+        platform.vms = [{"id": "s1"}]
+        with pytest.raises(StoreUnavailable, match="malformed"):
+            await vms.fetch()
+        await vms.close()
+
+
+async def test_list_in_memory():
+    vms = MemoryVmList(vms=[LEAVING])
+    assert await vms.fetch() == [LEAVING]
+    vms.down = True
+    with pytest.raises(StoreUnavailable):
+        await vms.fetch()
