Let node state messages carry only the members that changed

A full list of 5,500 members costs about 800 KB per message; a subscriber that sets accepts_partial gets only changed and removed members after its first message. Also the own member's publication and the calls to peers.

--- /dev/null
+++ b/knapweeddock/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: membership, distribution of configuration and the platform watch."""
--- /dev/null
+++ b/knapweeddock/agent/ownmember.py
@@ -0,0 +1,262 @@
+"""What an agent publishes about its own VM, from the reports of the local processes."""
+
+from dataclasses import dataclass, field
+
+from knapweeddock.errors import MessageError
+from knapweeddock.ids import FailureDomainId, Incarnation, VmId
+from knapweeddock.proto.knapweed_pb2 import DetailRecord, MemberRecord, Record, ReportRequest
+from knapweeddock.records import detail_key, member_key
+from knapweeddock.state import MemberState
+
+REPORT_SILENCE_S = 3.0
+"""Time without a report after which a local process is taken to be disconnected."""
+
+LOAD_STEP = 0.1
+"""Smallest change of load that is published."""
+
+MEMBER_COST_S = 0.5
+"""Seconds between two publications of slow fields, per member that gets them.
+
+A fleet of any size then receives at most two such records per second.
+"""
+
+DETAIL_COST_S = 0.2
+"""The same for detail records, per member of the own domain."""
+
+BURST = 5
+"""Publications of slow fields that may follow each other at once."""
+
+MAX_PAST_INCARNATIONS = 1000
+
+ROLE_ENTRY = "entry"
+ROLE_LOOKUP = "lookup"
+
+
+class Allowance:
+    """A token bucket whose refill time the caller names at each use."""
+
+    def __init__(self, *, burst: int) -> None:
+        self.burst = burst
+        self.tokens = float(burst)
+        self.updated_at = 0.0
+
+    def take(self, now: float, refill_s: float) -> bool:
+        """Take a token if there is one; one returns every ``refill_s`` seconds."""
+        gained = (now - self.updated_at) / refill_s
+        self.tokens = min(float(self.burst), self.tokens + max(0.0, gained))
+        self.updated_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclass(kw_only=True, slots=True)
+class Publication:
+    """Records that are new.
+
+    Attributes:
+        everywhere: Records for every node.
+        in_domain: Records for the own failure domain.
+    """
+
+    everywhere: list[Record] = field(default_factory=list)
+    in_domain: list[Record] = field(default_factory=list)
+
+
+class OwnMember:
+    """The record of this VM and what decides when it is published.
+
+    Attributes:
+        entry: The last report of the entry process, None before the first.
+        entry_reported_at: Time of that report, or of the start.
+        earlier: The member record that an earlier agent of this VM published.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: VmId,
+        failure_domain: FailureDomainId,
+        incarnation: Incarnation,
+        start_ms: int,
+        agent_address: str,
+        now: float,
+    ) -> None:
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.incarnation = incarnation
+        self.start_ms = start_ms
+        self.agent_address = agent_address
+        self.entry: ReportRequest | None = None
+        self.entry_reported_at = now
+        self.earlier: MemberRecord | None = None
+        self._lookup_address = ""
+        self._lookup_reported_at = now
+        self._past: dict[str, None] = {}
+        self._version = 0
+        self._detail_version = 0
+        self._member: MemberRecord | None = None
+        self._detail: DetailRecord | None = None
+        self._member_allowance = Allowance(burst=BURST)
+        self._detail_allowance = Allowance(burst=BURST)
+
+    def report(self, request: ReportRequest, now: float) -> None:
+        """Take a report of a local process.
+
+        Raises:
+            MessageError: The report is malformed or of another VM.
+        """
+        if request.vm != self.vm:
+            raise MessageError(f"report of VM {request.vm!r} at the agent of {self.vm}")
+        match request.role:
+            case "entry":
+                self._report_entry(request, now)
+            case "lookup":
+                self._lookup_address = request.lookup_address
+                self._lookup_reported_at = now
+            case _:
+                raise MessageError(f"report: role {request.role!r}; allowed: entry, lookup")
+
+    def _report_entry(self, request: ReportRequest, now: float) -> None:
+        if not request.incarnation:
+            raise MessageError("report: incarnation is empty")
+        known = {state.value for state in MemberState}
+        if request.state not in known:
+            raise MessageError(
+                f"report: state {request.state!r}; allowed: {', '.join(sorted(known))}"
+            )
+        if request.incarnation in self._past:
+            raise MessageError(f"report: incarnation {request.incarnation} was replaced before")
+        if self.entry is not None and self.entry.incarnation != request.incarnation:
+            self._past[self.entry.incarnation] = None
+            while len(self._past) > MAX_PAST_INCARNATIONS:
+                del self._past[next(iter(self._past))]
+        self.entry = request
+        self.entry_reported_at = now
+
+    def entry_silent_s(self, now: float) -> float:
+        """Return the seconds since the last report of the entry process."""
+        return now - self.entry_reported_at
+
+    def current_entry(self) -> MemberRecord | None:
+        """Return the entry process that this VM is known to run, None when unknown."""
+        if self.entry is not None:
+            return self._build_member(self.entry_reported_at)
+        return self.earlier
+
+    def observe(self, record: Record) -> None:
+        """Take a record of this VM that another agent process published.
+
+        The own start time moves past it, so that the own records win.
+        """
+        if record.incarnation == self.incarnation:
+            return
+        if record.HasField("member"):
+            self.earlier = record.member
+        if record.incarnation_start_ms >= self.start_ms:
+            self.start_ms = record.incarnation_start_ms + 1
+            self._member = None
+            self._detail = None
+
+    def publish(
+        self, now: float, *, fleet: int, domain: int, may_join: bool, earlier_gone: bool
+    ) -> Publication:
+        """Return the own records that changed and are due.
+
+        Args:
+            now: Monotonic time.
+            fleet: Number of members.
+            domain: Number of members of the own domain.
+            may_join: Whether peers had time to name an earlier record.
+            earlier_gone: Whether the entry in the earlier record is known to
+                be gone. Until then it is not replaced by ``joining``, which
+                would make peers take over the slots of a running entry.
+        """
+        publication = Publication()
+        if self.entry is None:
+            is_held = self.earlier is not None and not earlier_gone
+            if is_held or not may_join:
+                return publication
+        self._publish_member(now, fleet, publication)
+        self._publish_detail(now, domain, publication)
+        return publication
+
+    def _publish_member(self, now: float, fleet: int, publication: Publication) -> None:
+        member = self._build_member(now)
+        before = self._member
+        if before is not None:
+            urgent = MemberRecord()
+            urgent.CopyFrom(member)
+            urgent.load = before.load
+            urgent.config_version = before.config_version
+            is_due = urgent != before or (
+                _slow_change(member, before)
+                and self._member_allowance.take(now, fleet * MEMBER_COST_S)
+            )
+            if not is_due:
+                return
+        self._member = member
+        self._version += 1
+        publication.everywhere.append(self._record(member_key(self.vm), self._version))
+        publication.everywhere[0].member.CopyFrom(member)
+
+    def _publish_detail(self, now: float, domain: int, publication: Publication) -> None:
+        entry = self.entry
+        if entry is None:
+            return
+        detail = DetailRecord(
+            vm=self.vm,
+            entry_incarnation=entry.incarnation,
+            settled_views=entry.settled_views,
+            load=entry.load,
+            config_version=entry.config_version,
+        )
+        before = self._detail
+        if before is not None:
+            is_urgent = (
+                detail.settled_views != before.settled_views
+                or detail.entry_incarnation != before.entry_incarnation
+            )
+            is_due = is_urgent or (
+                _slow_change(detail, before)
+                and self._detail_allowance.take(now, domain * DETAIL_COST_S)
+            )
+            if not is_due:
+                return
+        self._detail = detail
+        self._detail_version += 1
+        publication.in_domain.append(self._record(detail_key(self.vm), self._detail_version))
+        publication.in_domain[0].detail.CopyFrom(detail)
+
+    def _record(self, key: str, version: int) -> Record:
+        return Record(
+            key=key,
+            incarnation=self.incarnation,
+            incarnation_start_ms=self.start_ms,
+            version=version,
+            failure_domain=self.failure_domain,
+        )
+
+    def _build_member(self, now: float) -> MemberRecord:
+        member = MemberRecord(
+            vm=self.vm,
+            failure_domain=self.failure_domain,
+            state=MemberState.JOINING.value,
+            agent_address=self.agent_address,
+        )
+        if now - self._lookup_reported_at < REPORT_SILENCE_S:
+            member.lookup_address = self._lookup_address
+        if self.entry is not None:
+            member.entry_incarnation = self.entry.incarnation
+            member.state = self.entry.state
+            member.public_address = self.entry.public_address
+            member.internal_address = self.entry.internal_address
+            member.lending_address = self.entry.lending_address
+            member.load = self.entry.load
+            member.config_version = self.entry.config_version
+        return member
+
+
+def _slow_change(new: MemberRecord | DetailRecord, old: MemberRecord | DetailRecord) -> bool:
+    return new.config_version != old.config_version or abs(new.load - old.load) >= LOAD_STEP
--- /dev/null
+++ b/knapweeddock/agent/peers.py
@@ -0,0 +1,92 @@
+"""Calls to other agents: bounded waits, and a fresh connection after a failure."""
+
+import asyncio
+from collections import OrderedDict
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from knapweeddock.errors import MessageError, PeerUnavailable
+from knapweeddock.proto.knapweed_grpc import PeerStub
+from knapweeddock.proto.knapweed_pb2 import ExchangeReply, ExchangeRequest, PushReply, PushRequest
+
+CALL_TIMEOUT_S = 2.0
+"""Longest duration of a call, connecting included; a whole document of 1 MB
+needs well under a second between regions."""
+
+MAX_CHANNELS = 128
+"""Open connections to peers; the one that was used longest ago is closed."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    Raises:
+        PeerUnavailable: The address is malformed.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise PeerUnavailable(f"{address!r} is not a host:port address")
+    return host.strip("[]"), int(port)
+
+
+class PeerClients:
+    """Connections to the agents of other VMs by address."""
+
+    def __init__(self, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self.timeout_s = timeout_s
+        self._channels: OrderedDict[str, Channel] = OrderedDict()
+
+    async def exchange(self, address: str, request: ExchangeRequest) -> ExchangeReply:
+        """Send one round of a comparison.
+
+        Raises:
+            PeerUnavailable: There was no answer in time.
+            MessageError: The peer refused the message.
+        """
+        return await self._call(address, "Exchange", request)
+
+    async def push(self, address: str, request: PushRequest) -> PushReply:
+        """Send records.
+
+        Raises:
+            PeerUnavailable: There was no answer in time.
+            MessageError: The peer refused the message.
+        """
+        return await self._call(address, "Push", request)
+
+    async def _call(self, address, method, request):  # noqa: ANN001, ANN202
+        channel = self._channel(address)
+        stub = PeerStub(channel)
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                return await getattr(stub, method)(request)
+        except GRPCError as error:
+            raise MessageError(f"{address} refused {method}: {error.message}") from error
+        except (TimeoutError, OSError, ProtocolError, StreamTerminatedError) as error:
+            self._discard(address, channel)
+            reason = str(error) or type(error).__name__
+            raise PeerUnavailable(f"{method} at {address}: {reason}") from error
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, port = split_address(address)
+            channel = Channel(host, port)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        while len(self._channels) > MAX_CHANNELS:
+            _, oldest = self._channels.popitem(last=False)
+            oldest.close()
+        return channel
+
+    def _discard(self, address: str, channel: Channel) -> None:
+        channel.close()
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
--- a/knapweeddock/nodestate.py
+++ b/knapweeddock/nodestate.py
@@ -131,6 +131,12 @@
             was never sent.
     """
     members: dict[VmId, Member] = {}
+    if message.members_partial:
+        if previous is None:
+            raise MessageError("node state: the first message on a stream has partial members")
+        members.update(previous.members)
+        for vm in message.removed_members:
+            members.pop(VmId(vm), None)
     for view in message.members:
         member = member_from_record(view.member, suspected=view.suspected, down=view.down)
         members[member.vm] = member
