--- /dev/null
+++ b/knapweeddock/agent/core.py
@@ -0,0 +1,224 @@
+"""What an agent does with messages: merge, publish, push and compare.
+
+The decisions are those of :mod:`knapweeddock.spread`; this module carries
+them out over the connections to the peers.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+import structlog
+
+from knapweeddock.agent.ownmember import OwnMember
+from knapweeddock.agent.peers import PeerClients
+from knapweeddock.agent.subscriptions import Subscriptions
+from knapweeddock.clock import Clock
+from knapweeddock.confighistory import Progress
+from knapweeddock.errors import MessageError, PeerUnavailable
+from knapweeddock.ids import Incarnation, VmId
+from knapweeddock.membership import down_record
+from knapweeddock.oncelog import OnceLog
+from knapweeddock.proto.knapweed_pb2 import MemberRecord, PushRequest, Record
+from knapweeddock.records import down_key
+from knapweeddock.spread import PushOrder, SpreadNode, Taken
+
+MAX_PUSHES = 500
+"""Pushes under way at a time; more are left to the comparisons."""
+
+PUSH_TRIES = 3
+"""Receivers tried for one push before it is left to the comparisons."""
+
+log = structlog.get_logger(__name__)
+
+
+class AgentCore:
+    """The state of an agent and its traffic with peers.
+
+    Attributes:
+        node: Records, configuration and members.
+        own: What is published about this VM.
+        subscriptions: Streams to local processes.
+        once: Problems of peers, each logged once.
+    """
+
+    def __init__(
+        self, *, node: SpreadNode, own: OwnMember, clock: Clock, rng: random.Random
+    ) -> None:
+        self.node = node
+        self.own = own
+        self.clock = clock
+        self.rng = rng
+        self.peers = PeerClients()
+        self.subscriptions = Subscriptions()
+        self.once = OnceLog(log=log)
+        self.is_synced = False
+        self._pushes: set[asyncio.Task[None]] = set()
+
+    # State
+
+    def take(self, records: Iterable[Record], source: str) -> Taken:
+        """Merge records of a peer and tell the subscribers."""
+        taken = self.node.take(records, self.clock.monotonic())
+        for error in taken.errors:
+            self.once.warning(source, error)
+        for record in taken.changed:
+            if self._is_own(record):
+                self.own.observe(record)
+        self.settle(config_changed=taken.config is Progress.ADVANCED)
+        return taken
+
+    def _is_own(self, record: Record) -> bool:
+        is_member = record.HasField("member") and record.member.vm == self.node.vm
+        return is_member or (record.HasField("detail") and record.detail.vm == self.node.vm)
+
+    def settle(self, *, config_changed: bool = False) -> None:
+        """Publish what is due of the own VM and tell the subscribers what changed."""
+        self._publish_own()
+        changed = self.node.members.take_changed()
+        if changed or config_changed:
+            self.subscriptions.notify(changed)
+
+    def _publish_own(self) -> None:
+        now = self.clock.monotonic()
+        members = self.node.members
+        publication = self.own.publish(
+            now,
+            fleet=max(1, len(members.views)),
+            domain=max(1, len(members.by_domain.get(self.node.failure_domain, ()))),
+            may_join=self.is_synced,
+            earlier_gone=self._is_earlier_gone(),
+        )
+        self.node.take(publication.everywhere + publication.in_domain, now)
+        if publication.everywhere:
+            self.send(self.node.push_everywhere(publication.everywhere, self.rng))
+        if publication.in_domain:
+            self.send(self.node.push_in_domain(publication.in_domain, self.rng))
+
+    def _is_earlier_gone(self) -> bool:
+        earlier = self.own.earlier
+        if earlier is None or not earlier.entry_incarnation or earlier.state == "left":
+            return True
+        key = down_key(self.node.vm, Incarnation(earlier.entry_incarnation))
+        return key in self.node.store.records
+
+    def mark_down(self, member: MemberRecord, evidence: str) -> None:
+        """Publish that an entry process is gone."""
+        log.warning(
+            "entry is down",
+            member=member.vm,
+            incarnation=member.entry_incarnation,
+            evidence=evidence,
+        )
+        self.publish(down_record(member, evidence))
+
+    def publish(self, record: Record) -> None:
+        """Merge a record made here and push it to every node that needs it."""
+        taken = self.node.take([record], self.clock.monotonic())
+        if not taken.changed:
+            return
+        if record.HasField("leaving"):
+            self.send(self.node.push_in_domain([record], self.rng))
+        else:
+            self.send(self.node.push_everywhere([record], self.rng))
+        self.settle()
+
+    def config_advanced(self, before: int) -> None:
+        """Tell subscribers and peers about a version that the platform gave."""
+        self.settle(config_changed=True)
+        self.send(self.node.push_everywhere(self.node.config_news(before), self.rng))
+
+    # Traffic
+
+    def send(self, orders: list[PushOrder]) -> None:
+        """Start pushes without waiting for them."""
+        for order in orders:
+            if len(self._pushes) >= MAX_PUSHES:
+                self.once.note("push", "too many pushes under way; comparisons will repair")
+                return
+            task = asyncio.create_task(self._push(order))
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
+
+    async def _push(self, order: PushOrder) -> None:
+        for position, vm in enumerate(order.candidates[:PUSH_TRIES]):
+            address = self.node.members.agent_address(vm)
+            if not address:
+                continue
+            request = PushRequest()
+            request.CopyFrom(order.request)
+            if order.pass_on:
+                request.forward_to.extend(order.candidates[position + 1 :])
+            try:
+                await self.peers.push(address, request)
+            except PeerUnavailable as error:
+                log.debug("push failed", peer=vm, error=str(error))
+                continue
+            except MessageError as error:
+                self.once.warning(address, error)
+            return
+
+    async def compare(self, address: str) -> None:
+        """Compare records and configuration with the agent at ``address``.
+
+        Raises:
+            PeerUnavailable: The agent did not answer.
+            MessageError: The agent refused a message.
+        """
+        node = self.node
+        request = node.with_heartbeats(node.first_request())
+        reply = await self.peers.exchange(address, request)
+        changed = self._take_compared(reply.records, address)
+        peer_version = reply.config_version
+        wanted: list[str] = []
+        second = node.second_request(reply, self.clock.monotonic())
+        if second is not None:
+            reply = await self.peers.exchange(address, second)
+            changed += self._take_compared(reply.records, address)
+            wanted = list(reply.wanted)
+        push = node.final_push(wanted, peer_version)
+        if push is not None:
+            await self.peers.push(address, push)
+        if changed and not self._is_neighbour(address):
+            self.send(node.push_in_domain(changed, self.rng))
+
+    def _take_compared(self, records: Iterable[Record], address: str) -> list[Record]:
+        before = self.node.history.version
+        taken = self.take(records, address)
+        news = list(taken.changed)
+        if taken.config is Progress.ADVANCED:
+            news.extend(self.node.config_news(before))
+        return news
+
+    def _is_neighbour(self, address: str) -> bool:
+        neighbours = self.node.members.domain_peers()
+        return any(self.node.members.agent_address(vm) == address for vm in neighbours)
+
+    def receive_push(self, request: PushRequest) -> Taken:
+        """Take a push, pass it on and fetch what it shows to be missing."""
+        taken = self.take(request.records, request.vm)
+        self.send(self.node.pass_on(request, taken, self.rng))
+        if taken.config is Progress.GAP:
+            address = self.node.members.agent_address(VmId(request.vm))
+            if address:
+                self._start(self._fetch_missing(address))
+        return taken
+
+    async def _fetch_missing(self, address: str) -> None:
+        try:
+            await self.compare(address)
+        except (PeerUnavailable, MessageError) as error:
+            log.info("missing configuration not fetched", peer=address, error=str(error))
+
+    def _start(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._pushes.add(task)
+        task.add_done_callback(self._pushes.discard)
+
+    async def close(self) -> None:
+        """Cancel pushes and close connections."""
+        pushes = list(self._pushes)
+        for task in pushes:
+            task.cancel()
+        await asyncio.gather(*pushes, return_exceptions=True)
+        self.peers.close()
--- /dev/null
+++ b/knapweeddock/agent/handlers.py
@@ -0,0 +1,144 @@
+"""The gRPC services of an agent: ``Node`` for local processes, ``Peer`` for agents."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from google.protobuf.message import DecodeError
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from knapweeddock.agent.core import AgentCore
+from knapweeddock.agent.subscriptions import MAX_SUBSCRIPTIONS, Subscription
+from knapweeddock.codes import ResultCode
+from knapweeddock.errors import MessageError
+from knapweeddock.proto.knapweed_grpc import NodeBase, PeerBase
+from knapweeddock.proto.knapweed_pb2 import PushReply, ReportReply
+
+STREAM_HEARTBEAT_S = 1.0
+"""Longest time between two messages of a stream, by which a subscriber tells a
+silent connection from a quiet agent."""
+
+GATHER_S = 0.05
+"""Time for which changes of members are gathered into one message. A change of
+the configuration is sent at once."""
+
+SEND_TIMEOUT_S = 10.0
+"""Longest time to send a message to a subscriber that does not read."""
+
+RECEIVE_TIMEOUT_S = 5.0
+"""Longest time to receive the message of a call."""
+
+_STATUS = {
+    ResultCode.UNKNOWN_MESSAGE: Status.UNIMPLEMENTED,
+    ResultCode.TOO_LARGE: Status.RESOURCE_EXHAUSTED,
+}
+
+
+def _grpc_error(error: MessageError) -> GRPCError:
+    status = _STATUS.get(error.code, Status.INVALID_ARGUMENT)
+    return GRPCError(status, f"{int(error.code)} {error.code.name}: {error}")
+
+
+@asynccontextmanager
+async def _numbered_errors(core: AgentCore, stream: Any) -> AsyncIterator[None]:
+    """Answer a malformed message with a numbered error and log it once per peer."""
+    try:
+        yield
+    except DecodeError as error:
+        problem = MessageError(f"the message cannot be decoded: {error}")
+        core.once.warning(_peer_of(stream), problem)
+        raise _grpc_error(problem) from error
+    except MessageError as error:
+        core.once.warning(_peer_of(stream), error)
+        raise _grpc_error(error) from error
+
+
+def _peer_of(stream: Any) -> str:
+    address = stream.peer.addr()
+    return str(address[0]) if address else "unknown"
+
+
+async def _receive(stream: Any) -> Any:
+    try:
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            request = await stream.recv_message()
+    except TimeoutError as error:
+        raise MessageError("the message did not arrive in time") from error
+    if request is None:
+        raise MessageError("the call has no message")
+    if not request.vm:
+        raise MessageError("the message names no VM")
+    return request
+
+
+class NodeHandler(NodeBase):
+    """State for local processes and reports from them."""
+
+    def __init__(self, *, core: AgentCore) -> None:
+        self.core = core
+        self.entry_gone = asyncio.Event()
+
+    async def Subscribe(self, stream: Any) -> None:
+        """Send the node state at once and after every change."""
+        async with _numbered_errors(self.core, stream):
+            request = await _receive(stream)
+        active = self.core.subscriptions.active
+        if len(active) >= MAX_SUBSCRIPTIONS:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, f"at most {MAX_SUBSCRIPTIONS} streams")
+        subscription = Subscription(request=request)
+        active.add(subscription)
+        try:
+            await self._send_all(stream, subscription)
+        except StreamTerminatedError:
+            return
+        finally:
+            active.discard(subscription)
+            if request.role == "entry" and request.vm == self.core.node.vm:
+                self.entry_gone.set()
+
+    async def _send_all(self, stream: Any, subscription: Subscription) -> None:
+        node = self.core.node
+        while True:
+            message = subscription.next_message(node)
+            try:
+                async with asyncio.timeout(SEND_TIMEOUT_S):
+                    await stream.send_message(message)
+            except TimeoutError:
+                await stream.cancel()
+                return
+            await subscription.wait(STREAM_HEARTBEAT_S)
+            if node.history.version == subscription.sent_version:
+                await asyncio.sleep(GATHER_S)
+
+    async def Report(self, stream: Any) -> None:
+        """Take a report of a local process."""
+        async with _numbered_errors(self.core, stream):
+            request = await _receive(stream)
+            self.core.own.report(request, self.core.clock.monotonic())
+        self.core.settle()
+        await stream.send_message(ReportReply(config_version=self.core.node.history.version))
+
+
+class PeerHandler(PeerBase):
+    """Comparisons with other agents and pushes from them."""
+
+    def __init__(self, *, core: AgentCore) -> None:
+        self.core = core
+
+    async def Exchange(self, stream: Any) -> None:
+        """Answer one round of a comparison."""
+        async with _numbered_errors(self.core, stream):
+            request = await _receive(stream)
+            reply = self.core.node.answer(request, self.core.clock.monotonic())
+        await stream.send_message(reply)
+
+    async def Push(self, stream: Any) -> None:
+        """Take records; problems with single records are the answer, the others are kept."""
+        async with _numbered_errors(self.core, stream):
+            request = await _receive(stream)
+            taken = self.core.receive_push(request)
+            if taken.errors:
+                raise taken.errors[0]
+        await stream.send_message(PushReply(config_version=self.core.node.history.version))
--- /dev/null
+++ b/knapweeddock/agent/metrics.py
@@ -0,0 +1,62 @@
+"""Metrics of the agent and the HTTP server that shows them."""
+
+from aiohttp import web
+
+from knapweeddock.agent.core import AgentCore
+from knapweeddock.metrics import ProcessMetrics
+from knapweeddock.settings import AgentSettings
+
+
+class AgentMetrics:
+    """Counters and gauges of one agent."""
+
+    def __init__(self, *, settings: AgentSettings) -> None:
+        self.listen = settings.listen
+        self.process = ProcessMetrics(process="knapweed-agent", vm=settings.vm)
+        self.version = self.process.gauge(
+            "knapweed_config_version", "Version of the configuration that the agent has."
+        )
+        self.members = self.process.gauge("knapweed_members", "Members known to the agent.")
+        self.suspected = self.process.gauge(
+            "knapweed_members_suspected", "Members of the own domain without heartbeats."
+        )
+        self.comparisons = self.process.counter(
+            "knapweed_comparisons_total", "Comparisons with other agents by result."
+        )
+        self.platform_errors = self.process.counter(
+            "knapweed_platform_errors_total", "Calls of the platform that failed."
+        )
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, core: AgentCore) -> None:
+        """Serve ``/metrics``."""
+        self.update(core)
+        app = web.Application()
+        app.router.add_get("/metrics", self.process.handle)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self.listen.host, self.listen.metrics).start()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def update(self, core: AgentCore) -> None:
+        """Set the gauges."""
+        self.version.set({}, core.node.history.version)
+        self.members.set({}, len(core.node.members.views))
+        self.suspected.set({}, len(core.node.members.silent_members()))
+
+    def compared(self) -> None:
+        """Count a comparison."""
+        self.comparisons.inc({"result": "done"})
+
+    def comparison_failed(self) -> None:
+        """Count a comparison without an answer."""
+        self.comparisons.inc({"result": "failed"})
+
+    def platform_failed(self) -> None:
+        """Count a call of the platform that failed."""
+        self.platform_errors.inc({})
--- a/knapweeddock/agent/peers.py
+++ b/knapweeddock/agent/peers.py
@@ -55,7 +55,7 @@
         """
         return await self._call(address, "Push", request)
 
-    async def _call(self, address, method, request):  # noqa: ANN001, ANN202
+    async def _call(self, address, method, request):
         channel = self._channel(address)
         stub = PeerStub(channel)
         try:
--- /dev/null
+++ b/knapweeddock/agent/platform.py
@@ -0,0 +1,210 @@
+"""The agent's side of the platform: watch of ``config/head`` and the VM list.
+
+Only the watchers of a failure domain call the platform. It may be down, slow
+or over its rate limit, or go silent on a watch; then the agent waits with
+jitter and asks again, and what it has stays in force.
+"""
+
+import random
+import time
+
+import structlog
+
+from knapweeddock.agent.core import AgentCore
+from knapweeddock.changes import HEAD_KEY, VersionedDocument
+from knapweeddock.confighistory import Progress
+from knapweeddock.errors import ConfigError, RateLimited, StoreError, StoreUnavailable
+from knapweeddock.headstore import fetch_document, stored_head
+from knapweeddock.ids import VmId
+from knapweeddock.objectstore import ABSENT, ObjectStore, StoredObject
+from knapweeddock.proto.knapweed_pb2 import LeavingRecord, Record
+from knapweeddock.records import leaving_key
+from knapweeddock.spread import watchers
+from knapweeddock.vmlist import VmEntry, VmKind, VmList, VmState
+
+WATCH_TIMEOUT_S = 5.0
+"""Wait of one watch call. Two watchers in each of 93 domains then make 37 calls
+per second, of the two thousand that the platform takes."""
+
+VM_LIST_INTERVAL_S = 5.0
+"""Time between two reads of the VM list, with the same cost as the watches."""
+
+RECHECK_WATCHES = 12
+"""Watches without news after which the head is read once. A platform that was
+restored with lower object versions would otherwise not answer a watch."""
+
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 5.0
+
+MISSING_AFTER_S = 60.0
+"""Silence after which a VM that is not in the VM list is taken to be gone, when
+it was never seen in the list; the list lags behind new VMs."""
+
+MAX_LEAVING = 2000
+"""Largest number of leaving servers or VMs in a record."""
+
+log = structlog.get_logger(__name__)
+
+
+class Backoff:
+    """Waits after failures: doubling, bounded, with jitter."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.rng = rng
+        self.current_s = MIN_BACKOFF_S
+
+    def reset(self) -> None:
+        """Start again with the shortest wait."""
+        self.current_s = MIN_BACKOFF_S
+
+    def next_s(self, error: Exception) -> float:
+        """Return the wait after ``error`` in seconds.
+
+        A rate limit's own wait is the lower bound, so that many watchers that
+        were refused together do not return together.
+        """
+        wait = self.current_s * self.rng.uniform(0.5, 1.5)
+        self.current_s = min(MAX_BACKOFF_S, 2 * self.current_s)
+        if isinstance(error, RateLimited):
+            wait += error.retry_after_s
+        return wait
+
+
+class ConfigWatch:
+    """Brings new versions of the configuration from the platform.
+
+    Attributes:
+        object_version: Version of the head object that was read last.
+    """
+
+    def __init__(self, *, core: AgentCore, store: ObjectStore) -> None:
+        self.core = core
+        self.store = store
+        self.object_version = ABSENT
+        self._must_read = True
+        self._watches = 0
+
+    async def step(self) -> None:
+        """Make one call and take what it brings.
+
+        Raises:
+            StoreError: The platform did not answer; the next step reads the
+                head afresh.
+            ConfigError: The head or a snapshot is malformed.
+        """
+        try:
+            found = await self._call()
+            if found is not None:
+                await self._take(found)
+        except (StoreError, ConfigError):
+            self._must_read = True
+            raise
+
+    async def _call(self) -> StoredObject | None:
+        self._watches += 1
+        if self._must_read or self._watches >= RECHECK_WATCHES:
+            found = await self.store.get(HEAD_KEY)
+            self._must_read = False
+            self._watches = 0
+            self.object_version = found.version if found else ABSENT
+            return found
+        found = await self.store.watch(HEAD_KEY, self.object_version, WATCH_TIMEOUT_S)
+        if found is not None:
+            self.object_version = found.version
+        return found
+
+    async def _take(self, found: StoredObject) -> None:
+        head = stored_head(found).head
+        history = self.core.node.history
+        before = history.version
+        progress = history.take_head(head)
+        if progress is Progress.GAP:
+            base = VersionedDocument(version=before, document=history.document)
+            document = await fetch_document(self.store, head, base)
+            before = history.version
+            progress = history.take_snapshot(document)
+        if progress is Progress.ADVANCED:
+            log.info("configuration in force", version=history.version, source="platform")
+            self.core.config_advanced(before)
+
+
+class VmListWatch:
+    """Publishes leaving servers and finds VMs that are gone."""
+
+    def __init__(self, *, core: AgentCore, vm_list: VmList) -> None:
+        self.core = core
+        self.vm_list = vm_list
+        self._listed: set[str] = set()
+        self._missing: set[VmId] = set()
+
+    async def step(self) -> None:
+        """Read the list and publish what it shows.
+
+        Raises:
+            StoreError: The platform did not answer.
+        """
+        entries = await self.vm_list.fetch()
+        if not entries:
+            raise StoreUnavailable("the VM list is empty")
+        self._publish_leaving(entries)
+        self._find_missing(entries)
+
+    def _publish_leaving(self, entries: list[VmEntry]) -> None:
+        leaving = [entry for entry in entries if entry.state is VmState.LEAVING]
+        servers = sorted(entry.id for entry in leaving if entry.kind is VmKind.SERVER)
+        vms = sorted(entry.id for entry in leaving if entry.kind is VmKind.ENTRY)
+        content = LeavingRecord(servers=servers[:MAX_LEAVING], vms=vms[:MAX_LEAVING])
+        domain = self.core.node.failure_domain
+        key = leaving_key(domain)
+        present = self.core.node.store.records.get(key)
+        if present is None and not leaving:
+            return
+        if present is not None and present.leaving == content:
+            return
+        # Any watcher may write this record, so its stamp is the wall time.
+        start_ms = int(time.time() * 1000)
+        if present is not None:
+            start_ms = max(start_ms, present.incarnation_start_ms + 1)
+        self.core.publish(
+            Record(
+                key=key,
+                incarnation=self.core.own.incarnation,
+                incarnation_start_ms=start_ms,
+                version=1,
+                failure_domain=domain,
+                leaving=content,
+            )
+        )
+
+    def _find_missing(self, entries: list[VmEntry]) -> None:
+        """Mark silent members down that two lists in a row do not name."""
+        now = self.core.clock.monotonic()
+        listed = {entry.id for entry in entries if entry.kind is VmKind.ENTRY}
+        members = self.core.node.members
+        missing: set[VmId] = set()
+        for view in members.silent_members():
+            vm = VmId(view.member.vm)
+            if vm in listed or not view.member.entry_incarnation:
+                continue
+            is_known = vm in self._listed or (
+                members.heartbeats.silent_for(vm, now) > MISSING_AFTER_S
+            )
+            if not is_known:
+                continue
+            missing.add(vm)
+            if vm in self._missing:
+                self.core.mark_down(view.member, "not in the VM list")
+        self._missing = missing
+        self._listed |= listed
+
+
+def is_watcher(core: AgentCore) -> bool:
+    """Return whether this agent watches the platform for its domain.
+
+    The choice is made among agents that send heartbeats, whatever the state
+    of their entry process, so that a domain whose entries are still joining
+    gets its first configuration.
+    """
+    members = core.node.members
+    vms = [*members.heard_peers(), core.node.vm]
+    return core.node.vm in watchers(core.node.failure_domain, vms)
--- /dev/null
+++ b/knapweeddock/agent/service.py
@@ -0,0 +1,201 @@
+"""The agent as a service: its server and its periodic tasks."""
+
+import random
+import socket
+
+import structlog
+from grpclib.server import Server
+from mode import Service
+
+from knapweeddock.agent.core import AgentCore
+from knapweeddock.agent.evidence import EvidenceProbe
+from knapweeddock.agent.handlers import NodeHandler, PeerHandler
+from knapweeddock.agent.metrics import AgentMetrics
+from knapweeddock.agent.ownmember import OwnMember
+from knapweeddock.agent.platform import (
+    VM_LIST_INTERVAL_S,
+    Backoff,
+    ConfigWatch,
+    VmListWatch,
+    is_watcher,
+)
+from knapweeddock.clock import Clock, SystemClock
+from knapweeddock.errors import ConfigError, MessageError, PeerUnavailable, StoreError
+from knapweeddock.ids import Incarnation, new_id
+from knapweeddock.objectstore import ObjectStore
+from knapweeddock.settings import AgentSettings
+from knapweeddock.spread import SpreadNode
+from knapweeddock.vmlist import VmList
+
+COMPARE_INTERVAL_S = 1.0
+"""Time between two comparisons, and between two heartbeats."""
+
+SYNC_WAIT_S = 3.0
+"""Time after a start for which the agent waits to hear from a seed before it
+publishes that its entry is joining."""
+
+ROLE_CHECK_S = 0.5
+"""Time between two checks of an agent that does not watch the platform."""
+
+PROBE_INTERVAL_S = 0.5
+
+SEED_PROBABILITY = 1 / 30
+"""Part of the comparisons that go to a seed although members are known, so that
+two halves of the fleet that forgot each other meet again."""
+
+MAX_PAUSE_S = 2.0
+"""Distance of two ticks above which the process was paused. Heartbeats are not
+judged then, since those of the others could not arrive."""
+
+log = structlog.get_logger(__name__)
+
+
+class AgentService(Service):
+    """The agent of one VM.
+
+    Attributes:
+        core: Its state and its traffic with peers.
+        address: ``host:port`` where it listens, known after the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: AgentSettings,
+        store: ObjectStore,
+        vm_list: VmList,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.store = store
+        self.vm_list = vm_list
+        self.clock = clock or SystemClock()
+        self.rng = rng or random.Random()
+        self.address = ""
+        self.core: AgentCore
+        self.handler: NodeHandler
+        self.metrics = AgentMetrics(settings=settings)
+
+    async def on_start(self) -> None:
+        """Listen and set up the state."""
+        listen = self.settings.listen
+        listener = socket.create_server((listen.host, listen.port), backlog=1024)
+        self.address = f"{listen.host}:{listener.getsockname()[1]}"
+        self.core = self._build_core()
+        self.handler = NodeHandler(core=self.core)
+        self.server = Server([self.handler, PeerHandler(core=self.core)])
+        await self.server.start(sock=listener)
+        await self.metrics.start(self.core)
+        log.info("agent listens", address=self.address)
+
+    def _build_core(self) -> AgentCore:
+        vm = self.settings.vm
+        domain = self.settings.failure_domain
+        own = OwnMember(
+            vm=vm,
+            failure_domain=domain,
+            incarnation=Incarnation(new_id()),
+            start_ms=int(self.clock.wall() * 1000),
+            agent_address=self.address,
+            now=self.clock.monotonic(),
+        )
+        node = SpreadNode(vm=vm, failure_domain=domain)
+        return AgentCore(node=node, own=own, clock=self.clock, rng=self.rng)
+
+    async def on_shutdown(self) -> None:
+        """Close the server and all connections, after the tasks have ended."""
+        self.server.close()
+        await self.server.wait_closed()
+        await self.core.close()
+        await self.metrics.stop()
+        await self.store.close()
+        await self.vm_list.close()
+
+    @Service.task
+    async def _compare_loop(self) -> None:
+        started_at = self.clock.monotonic()
+        last_tick = started_at
+        tick = self.rng.randrange(2)
+        while not self.should_stop:
+            now = self.clock.monotonic()
+            was_paused = now - last_tick > MAX_PAUSE_S
+            last_tick = now
+            members = self.core.node.members
+            if was_paused:
+                members.restart_heartbeats(now)
+            members.update_suspicion(now)
+            members.expire(now)
+            await self._compare(tick)
+            if now - started_at >= SYNC_WAIT_S or not self._seeds():
+                self.core.is_synced = True
+            self.core.settle()
+            self.metrics.update(self.core)
+            tick += 1
+            await self.sleep(COMPARE_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+
+    def _seeds(self) -> list[str]:
+        return [seed for seed in self.settings.seeds if seed != self.address]
+
+    async def _compare(self, tick: int) -> None:
+        node = self.core.node
+        addresses = [node.members.agent_address(vm) for vm in node.comparison_peers(tick, self.rng)]
+        seeds = self._seeds()
+        wants_seed = not addresses or not self.core.is_synced
+        if seeds and (wants_seed or self.rng.random() < SEED_PROBABILITY):
+            addresses.append(self.rng.choice(seeds))
+        for address in addresses:
+            try:
+                await self.core.compare(address)
+            except PeerUnavailable as error:
+                log.debug("comparison failed", peer=address, error=str(error))
+                self.metrics.comparison_failed()
+            except MessageError as error:
+                self.core.once.warning(address, error)
+            else:
+                self.core.is_synced = True
+                self.metrics.compared()
+
+    @Service.task
+    async def _config_loop(self) -> None:
+        watch = ConfigWatch(core=self.core, store=self.store)
+        backoff = Backoff(rng=self.rng)
+        while not self.should_stop:
+            if not is_watcher(self.core):
+                await self.sleep(ROLE_CHECK_S)
+                continue
+            try:
+                await watch.step()
+                backoff.reset()
+            except (StoreError, ConfigError) as error:
+                self.core.once.warning("platform", error)
+                self.metrics.platform_failed()
+                await self.sleep(backoff.next_s(error))
+
+    @Service.task
+    async def _vm_list_loop(self) -> None:
+        watch = VmListWatch(core=self.core, vm_list=self.vm_list)
+        backoff = Backoff(rng=self.rng)
+        while not self.should_stop:
+            wait = VM_LIST_INTERVAL_S
+            if is_watcher(self.core):
+                try:
+                    await watch.step()
+                    backoff.reset()
+                except StoreError as error:
+                    self.core.once.warning("VM list", error)
+                    wait = max(wait, backoff.next_s(error))
+            await self.sleep(wait * self.rng.uniform(0.9, 1.1))
+
+    @Service.task
+    async def _evidence_loop(self) -> None:
+        probe = EvidenceProbe(core=self.core)
+        while not self.should_stop:
+            is_disconnected = self.handler.entry_gone.is_set()
+            self.handler.entry_gone.clear()
+            await probe.step(is_disconnected=is_disconnected)
+            await self._wait_for_disconnect()
+
+    async def _wait_for_disconnect(self) -> None:
+        await self.wait_first(self.handler.entry_gone.wait(), timeout=PROBE_INTERVAL_S)
--- /dev/null
+++ b/knapweeddock/daemon.py
@@ -0,0 +1,44 @@
+"""Runs a service as a process until a signal or a crash ends it."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+import structlog
+from mode import Service
+
+EXIT_CRASHED = 1
+
+log = structlog.get_logger(__name__)
+
+
+def run_daemon(build: Callable[[], Service]) -> int:
+    """Run a service and return the exit status of the process.
+
+    Args:
+        build: Makes the service; called inside the event loop.
+    """
+    return asyncio.run(_run(build))
+
+
+async def _run(build: Callable[[], Service]) -> int:
+    service = build()
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    await service.start()
+    waits = [
+        asyncio.create_task(stop.wait()),
+        asyncio.create_task(service.wait_until_stopped()),
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    await service.stop()
+    for wait in waits:
+        wait.cancel()
+    await asyncio.gather(*waits, return_exceptions=True)
+    reason = service.crash_reason
+    if reason is not None:
+        log.error("the process ends after an error", error=repr(reason))
+        return EXIT_CRASHED
+    return 0
--- /dev/null
+++ b/knapweeddock/lookup.py
@@ -0,0 +1,314 @@
+"""Answers look-ups: which entry VMs a client should use, the best first."""
+
+from dataclasses import dataclass, field
+
+from knapweeddock.blocks import BlockMatch, BlockTable, parse_address
+from knapweeddock.codes import ResultCode
+from knapweeddock.errors import KnapweedError
+from knapweeddock.ids import FailureDomainId, RegionId, ServiceId, Version, VmId
+from knapweeddock.model import DEFAULT_LINK_DELAY_MS, Config
+from knapweeddock.rendezvous import hash_parts, weighted_order
+from knapweeddock.state import Member, NodeState
+
+CLIENT_GROUPS = 1024
+"""Groups of client blocks that share an order of entries.
+
+The order of the entries of a domain is computed once per group and kept until
+a member changes: ordering 59 members takes longer than the whole target of
+50 us. With 1,024 groups a member of 59 gets 17 groups on average.
+"""
+
+MIN_WEIGHT = 0.05
+"""Weight of a fully loaded entry, so that it is still named to some clients."""
+
+LOAD_DIGITS = 1
+"""Loads are rounded to tenths, so that small changes keep the kept orders."""
+
+NEAREST_ENTRIES = 2
+"""Entries of the nearest domain in an answer."""
+
+
+class LookupRefused(KnapweedError):
+    """A look-up cannot be answered."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NamedEntry:
+    """One entry of an answer."""
+
+    vm: VmId
+    url: str
+    incarnation: str
+    failure_domain: FailureDomainId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LookupAnswer:
+    """The answer to a look-up, the best entry first.
+
+    Attributes:
+        service: Service that was asked for.
+        entries: Entries to use.
+        lifetime_ms: Time that the answer may be used.
+        config_version: Configuration that the answer is based on.
+    """
+
+    service: ServiceId
+    entries: list[NamedEntry]
+    lifetime_ms: int
+    config_version: Version
+
+
+@dataclass
+class _Domain:
+    """The entries of one failure domain that may be named.
+
+    Attributes:
+        weights: Weight of each entry that is not suspected.
+        suspected: Entries that are suspected, sorted.
+        orders: Order of the entries by client group.
+    """
+
+    weights: dict[VmId, float] = field(default_factory=dict)
+    suspected: list[VmId] = field(default_factory=list)
+    orders: dict[int, list[VmId]] = field(default_factory=dict)
+
+    def order(self, group: int) -> list[VmId]:
+        order = self.orders.get(group)
+        if order is None:
+            order = weighted_order(str(group), self.weights)
+            self.orders[group] = order
+        return order
+
+
+class Geography:
+    """Regions and delays of a configuration, prepared for look-ups."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.region_of: dict[FailureDomainId, RegionId] = {
+            domain: name
+            for name, region in config.regions.items()
+            for domain in region.failure_domains
+        }
+
+    def delay_ms(self, origin: FailureDomainId, target: FailureDomainId) -> float:
+        """Return the one-way delay between two failure domains."""
+        if origin == target:
+            return 0.0
+        origin_region = self.region_of.get(origin)
+        target_region = self.region_of.get(target)
+        if origin_region is None or target_region is None:
+            return DEFAULT_LINK_DELAY_MS
+        if origin_region == target_region:
+            return self.config.regions[origin_region].delay_ms
+        link = self.config.links.get(f"{origin_region}->{target_region}")
+        return link.delay_ms if link else DEFAULT_LINK_DELAY_MS
+
+    def home_of(self, location: str | None, group: int) -> FailureDomainId | None:
+        """Return the failure domain that a client is taken to be in.
+
+        The clients of a location that is a region are spread over its domains.
+        """
+        if location is None:
+            return None
+        if location in self.region_of:
+            return FailureDomainId(location)
+        region = self.config.regions.get(RegionId(location))
+        if region is None or not region.failure_domains:
+            return None
+        domains = sorted(region.failure_domains)
+        return domains[group % len(domains)]
+
+
+class Lookup:
+    """Answers look-ups from the newest node state.
+
+    Attributes:
+        failure_domain: Domain of this VM, for clients that no block matches.
+        state: The state that answers are based on, None before the first.
+    """
+
+    def __init__(self, *, failure_domain: FailureDomainId) -> None:
+        self.failure_domain = failure_domain
+        self.state: NodeState | None = None
+        self.blocks = BlockTable()
+        self._geography = Geography(Config())
+        self._domains: dict[FailureDomainId, _Domain] = {}
+        self._near: dict[FailureDomainId, list[FailureDomainId]] = {}
+
+    def update(self, state: NodeState) -> None:
+        """Use a newer state; orders of domains without a change are kept.
+
+        Raises:
+            ConfigError: The client blocks cannot be used; the state before
+                stays in use.
+        """
+        previous = self.state
+        if previous is None or state.config is not previous.config:
+            before = previous.config.client_blocks if previous else {}
+            if state.config.client_blocks != before:
+                self.blocks = BlockTable(state.config.client_blocks.items())
+            self._geography = Geography(state.config)
+            changed = {member.failure_domain for member in state.members.values()}
+            changed |= set(self._domains)
+            self._near.clear()
+        else:
+            changed = _changed_domains(previous.members, state.members)
+        self.state = state
+        if changed:
+            self._rebuild(changed, state)
+
+    def use_blocks(self, blocks: BlockTable) -> None:
+        """Replace the table of client blocks."""
+        self.blocks = blocks
+
+    def _rebuild(self, changed: set[FailureDomainId], state: NodeState) -> None:
+        fresh = {domain: _Domain() for domain in changed}
+        for member in state.members.values():
+            domain = fresh.get(member.failure_domain)
+            if domain is not None and self._may_name(member, state.config):
+                if member.suspected:
+                    domain.suspected.append(member.vm)
+                else:
+                    weight = max(MIN_WEIGHT, 1.0 - round(member.load, LOAD_DIGITS))
+                    domain.weights[member.vm] = weight
+        for name, domain in fresh.items():
+            self._replace(name, domain)
+
+    def _replace(self, name: FailureDomainId, domain: _Domain) -> None:
+        held = self._domains.get(name)
+        domain.suspected.sort()
+        is_empty = not domain.weights and not domain.suspected
+        if is_empty:
+            if held is not None:
+                del self._domains[name]
+                self._near.clear()
+            return
+        if held is None:
+            self._near.clear()
+        elif held.weights == domain.weights:
+            domain.orders = held.orders
+        self._domains[name] = domain
+
+    def _may_name(self, member: Member, config: Config) -> bool:
+        drains = config.drains
+        is_drained = drains.vms.get(member.vm, False) or drains.failure_domains.get(
+            member.failure_domain, False
+        )
+        return member.takes_work and bool(member.public_address) and not is_drained
+
+    def answer(self, service: str, client: str) -> LookupAnswer:
+        """Answer a look-up.
+
+        Args:
+            service: The service.
+            client: IP address of the client.
+
+        Raises:
+            KnapweedError: The address is malformed (101), the service is not
+                known (102), no entry serves (118) or there is no
+                configuration yet (119).
+        """
+        state = self.state
+        if state is None or not state.config_version:
+            raise LookupRefused("no configuration yet", code=ResultCode.NOT_READY)
+        if service not in state.config.services:
+            raise LookupRefused(
+                f"unknown service {service[:64]!r}", code=ResultCode.UNKNOWN_SERVICE
+            )
+        match = self.blocks.find(parse_address(client))
+        chosen = self._choose(match, state.config.lookup.entries)
+        if not chosen:
+            raise LookupRefused("no entry serves", code=ResultCode.NO_SITE)
+        return LookupAnswer(
+            service=ServiceId(service),
+            entries=[_named(state.members[vm]) for vm in chosen],
+            lifetime_ms=state.config.lookup.lifetime_ms,
+            config_version=state.config_version,
+        )
+
+    def _choose(self, match: BlockMatch, count: int) -> list[VmId]:
+        group = hash_parts(str(match.key)) % CLIENT_GROUPS
+        home = self._geography.home_of(match.location, group) or self.failure_domain
+        near = self._nearest_first(home)
+        chosen = self._pattern(near, group)[:count]
+        if len(chosen) < count:
+            self._fill(chosen, near, group, count)
+        return chosen
+
+    def _nearest_first(self, home: FailureDomainId) -> list[FailureDomainId]:
+        near = self._near.get(home)
+        if near is None:
+            geography = self._geography
+
+            def distance(domain: FailureDomainId) -> tuple[float, int, str]:
+                # The hash spreads homes over domains that are equally far away.
+                return (geography.delay_ms(home, domain), hash_parts(home, domain), domain)
+
+            near = sorted(self._domains, key=distance)
+            self._near[home] = near
+        return near
+
+    def _pattern(self, near: list[FailureDomainId], group: int) -> list[VmId]:
+        """Return two entries of the nearest domain, one of its region, one of another."""
+        chosen: list[VmId] = []
+        region: RegionId | None = None
+        needs_neighbour = True
+        needs_other = True
+        for domain in near:
+            order = self._domains[domain].order(group)
+            if not order:
+                continue
+            this_region = self._geography.region_of.get(domain)
+            if not chosen:
+                chosen.extend(order[:NEAREST_ENTRIES])
+                region = this_region
+            elif this_region == region and needs_neighbour:
+                chosen.append(order[0])
+                needs_neighbour = False
+            elif this_region != region and needs_other:
+                chosen.append(order[0])
+                needs_other = False
+            if not needs_neighbour and not needs_other:
+                break
+        return chosen
+
+    def _fill(
+        self, chosen: list[VmId], near: list[FailureDomainId], group: int, count: int
+    ) -> None:
+        """Add the next entries by delay; suspected ones come after all others."""
+        for domain in near:
+            for vm in self._domains[domain].order(group):
+                if len(chosen) >= count:
+                    return
+                if vm not in chosen:
+                    chosen.append(vm)
+        for domain in near:
+            for vm in self._domains[domain].suspected:
+                if len(chosen) >= count:
+                    return
+                chosen.append(vm)
+
+
+def _changed_domains(before: dict[VmId, Member], after: dict[VmId, Member]) -> set[FailureDomainId]:
+    changed = set()
+    for vm, member in after.items():
+        held = before.get(vm)
+        if held is not member:
+            changed.add(member.failure_domain)
+            if held is not None:
+                changed.add(held.failure_domain)
+    for vm, member in before.items():
+        if vm not in after:
+            changed.add(member.failure_domain)
+    return changed
+
+
+def _named(member: Member) -> NamedEntry:
+    return NamedEntry(
+        vm=member.vm,
+        url=f"http://{member.public_address}",
+        incarnation=member.incarnation,
+        failure_domain=member.failure_domain,
+    )
--- /dev/null
+++ b/knapweeddock/lookupd/service.py
@@ -0,0 +1,72 @@
+"""The look-up daemon as a service."""
+
+import random
+
+import structlog
+from aiohttp import web
+from mode import Service
+
+from knapweeddock.ids import new_id
+from knapweeddock.lookup import Lookup
+from knapweeddock.lookupd.subscription import StateFeed
+from knapweeddock.lookupd.web import LookupWeb
+from knapweeddock.metrics import ProcessMetrics
+from knapweeddock.settings import LookupSettings
+
+log = structlog.get_logger(__name__)
+
+
+class LookupService(Service):
+    """Answers look-ups on one VM.
+
+    Attributes:
+        lookup: What answers are made from.
+        address: ``host:port`` for callers, known after the start.
+        metrics_address: ``host:port`` of ``/metrics``, known after the start.
+    """
+
+    def __init__(self, *, settings: LookupSettings, rng: random.Random | None = None) -> None:
+        super().__init__()
+        self.settings = settings
+        self.lookup = Lookup(failure_domain=settings.failure_domain)
+        self.web = LookupWeb(
+            lookup=self.lookup,
+            metrics=ProcessMetrics(process="knapweed-lookup", vm=settings.vm),
+        )
+        self.feed = StateFeed(
+            vm=settings.vm,
+            agents=list(settings.agents),
+            lookup=self.lookup,
+            incarnation=new_id(),
+            rng=rng or random.Random(),
+        )
+        self.address = ""
+        self.metrics_address = ""
+        self._runners: list[web.AppRunner] = []
+
+    async def on_start(self) -> None:
+        """Listen for callers."""
+        listen = self.settings.listen
+        self.address = await self._serve(self.web.build_app(), listen.host, listen.port)
+        self.metrics_address = await self._serve(
+            self.web.build_metrics_app(), listen.host, listen.metrics
+        )
+        self.feed.address = self.address
+        log.info("look-up listens", address=self.address)
+
+    async def _serve(self, app: web.Application, host: str, port: int) -> str:
+        runner = web.AppRunner(app, access_log=None)
+        self._runners.append(runner)
+        await runner.setup()
+        site = web.TCPSite(runner, host, port)
+        await site.start()
+        return f"{host}:{runner.addresses[0][1]}"
+
+    async def on_shutdown(self) -> None:
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    @Service.task
+    async def _feed_loop(self) -> None:
+        await self.feed.run()
--- /dev/null
+++ b/knapweeddock/lookupd/subscription.py
@@ -0,0 +1,168 @@
+"""Node state from the local agent, or from another one of the domain.
+
+The last state stays in use while no agent answers. A stream that brings
+nothing for a while is replaced by a fresh connection.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import structlog
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from knapweeddock.agent.peers import split_address
+from knapweeddock.errors import ConfigError, MessageError, PeerUnavailable
+from knapweeddock.ids import VmId
+from knapweeddock.lookup import Lookup
+from knapweeddock.nodestate import state_from_message
+from knapweeddock.proto.knapweed_grpc import NodeStub
+from knapweeddock.proto.knapweed_pb2 import NodeStateMessage, ReportRequest, SubscribeRequest
+from knapweeddock.state import MemberState, NodeState
+
+SILENCE_S = 3.0
+"""Time without a message after which a stream is replaced; the agent sends one
+every second."""
+
+RETRY_S = 0.2
+MAX_RETRY_S = 2.0
+
+REPORT_INTERVAL_S = 1.0
+REPORT_TIMEOUT_S = 1.0
+
+RETURN_S = 10.0
+"""Time on another agent after which the local one is tried again."""
+
+ROLE = "lookup"
+
+log = structlog.get_logger(__name__)
+
+
+class StateFeed:
+    """Keeps a ``Lookup`` up to date.
+
+    Attributes:
+        lookup: The look-up that gets the states.
+        connected: Address of the agent that the stream comes from, or "".
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: VmId,
+        agents: list[str],
+        lookup: Lookup,
+        incarnation: str,
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.agents = agents
+        self.lookup = lookup
+        self.incarnation = incarnation
+        self.rng = rng
+        self.connected = ""
+        self.address = ""
+        self._retry_s = RETRY_S
+
+    async def run(self) -> None:
+        """Follow the agents in order of preference until cancelled."""
+        while True:
+            for address in self.agents:
+                started_version = self.lookup.state
+                try:
+                    await self._follow(address)
+                except (PeerUnavailable, MessageError) as error:
+                    log.info("agent not followed", agent=address, error=str(error))
+                if self.lookup.state is not started_version:
+                    # The agent worked; the local one is tried first again.
+                    self._retry_s = RETRY_S
+                    break
+            await asyncio.sleep(self._retry_s * self.rng.uniform(0.5, 1.5))
+            self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
+
+    async def _follow(self, address: str) -> None:
+        is_local = address == self.agents[0]
+        async with _channel(address) as channel:
+            stub = NodeStub(channel)
+            async with asyncio.TaskGroup() as group:
+                reports = group.create_task(self._report(stub)) if is_local else None
+                try:
+                    await self._read(stub, address, None if is_local else RETURN_S)
+                finally:
+                    self.connected = ""
+                    if reports is not None:
+                        reports.cancel()
+
+    async def _read(self, stub: NodeStub, address: str, limit_s: float | None) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s if limit_s is not None else None
+        previous: NodeState | None = None
+        request = SubscribeRequest(vm=self.vm, role=ROLE, accepts_partial=True)
+        try:
+            async with asyncio.timeout(SILENCE_S) as silence, stub.Subscribe.open() as stream:
+                await stream.send_message(request, end=True)
+                while end is None or loop.time() < end:
+                    message = await stream.recv_message()
+                    if message is None:
+                        raise PeerUnavailable(f"{address} ended the stream")
+                    silence.reschedule(loop.time() + SILENCE_S)
+                    previous = self._take(message, previous, address)
+                await stream.cancel()
+        except (TimeoutError, OSError, GRPCError, ProtocolError, StreamTerminatedError) as error:
+            raise PeerUnavailable(f"{address}: {str(error) or type(error).__name__}") from error
+
+    def _take(
+        self, message: NodeStateMessage, previous: NodeState | None, address: str
+    ) -> NodeState:
+        state = state_from_message(message, previous=previous)
+        self.connected = address
+        held = self.lookup.state
+        if held is not None and state.config_version < held.config_version:
+            # Another agent may be behind; a configuration is never taken back.
+            state = NodeState(
+                config_version=held.config_version,
+                config=held.config,
+                members=state.members,
+                leaving_servers=state.leaving_servers,
+            )
+        try:
+            self.lookup.update(state)
+        except ConfigError as error:
+            raise MessageError(f"configuration of {address}: {error}") from error
+        return state
+
+    async def _report(self, stub: NodeStub) -> None:
+        while True:
+            request = ReportRequest(
+                vm=self.vm,
+                role=ROLE,
+                incarnation=self.incarnation,
+                state=MemberState.SERVING.value,
+                lookup_address=self.address,
+            )
+            if self.lookup.state is not None:
+                request.config_version = self.lookup.state.config_version
+            try:
+                async with asyncio.timeout(REPORT_TIMEOUT_S):
+                    await stub.Report(request)
+            except (
+                TimeoutError,
+                OSError,
+                GRPCError,
+                ProtocolError,
+                StreamTerminatedError,
+            ) as error:
+                log.info("report failed", error=str(error) or type(error).__name__)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+@asynccontextmanager
+async def _channel(address: str) -> AsyncIterator[Channel]:
+    host, port = split_address(address)
+    channel = Channel(host, port)
+    try:
+        yield channel
+    finally:
+        channel.close()
--- a/knapweeddock/membership.py
+++ b/knapweeddock/membership.py
@@ -102,6 +102,11 @@
             present.counter += 1
             present.since = now
 
+    def restart(self, now: float) -> None:
+        """Count the silence of all members from ``now`` on."""
+        for beat in self._beats.values():
+            beat.since = now
+
     def vector(self) -> Heartbeats:
         """Return the counters as a message."""
         beats = self._beats.values()
@@ -249,6 +254,10 @@
         for vm in affected:
             self._refresh(vm, now)
 
+    def restart_heartbeats(self, now: float) -> None:
+        """Count silence from ``now`` on, after a pause of this process."""
+        self.heartbeats.restart(now)
+
     def expire(self, now: float) -> None:
         """Drop the records of members that were gone for ``EXPIRY_S``."""
         own = member_key(self.vm)
--- /dev/null
+++ b/knapweeddock/oncelog.py
@@ -0,0 +1,37 @@
+"""Logs problems that peers cause once each, so that a faulty peer cannot flood the log."""
+
+from typing import Any
+
+from knapweeddock.errors import KnapweedError
+
+MAX_REMEMBERED = 1000
+"""Problems remembered; beyond it the oldest is logged again when it recurs."""
+
+
+class OnceLog:
+    """Logs the first problem of each kind from each source."""
+
+    def __init__(self, *, log: Any) -> None:
+        self.log = log
+        self._seen: dict[tuple[str, str], None] = {}
+
+    def warning(self, source: str, error: KnapweedError) -> None:
+        """Log an error of ``source`` unless one of its code was logged before."""
+        if self._is_new(source, str(int(error.code))):
+            self.log.warning(
+                "message of peer refused", peer=source, code=int(error.code), error=str(error)
+            )
+
+    def note(self, kind: str, message: str) -> None:
+        """Log ``message`` unless one of the kind was logged before."""
+        if self._is_new("", kind):
+            self.log.warning(message, kind=kind)
+
+    def _is_new(self, source: str, kind: str) -> bool:
+        key = (source, kind)
+        if key in self._seen:
+            return False
+        self._seen[key] = None
+        if len(self._seen) > MAX_REMEMBERED:
+            del self._seen[next(iter(self._seen))]
+        return True
--- a/knapweeddock/spread.py
+++ b/knapweeddock/spread.py
@@ -157,6 +157,17 @@
         missing = self.history.since(version)
         return [Record(key=CONFIG_KEY, config=missing)] if missing else []
 
+    def config_news(self, before: int) -> list[Record]:
+        """Return the record to push after the configuration advanced from ``before``.
+
+        It carries the changes, or only the version when the whole document
+        would be needed: a node that lacks it then fetches it by itself.
+        """
+        records = self.config_record(before)
+        for record in records:
+            record.config.document = b""
+        return records
+
     # Comparison
 
     def first_request(self) -> ExchangeRequest:
