--- a/knapweeddock/agent/core.py
+++ b/knapweeddock/agent/core.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
+from typing import Any
 
 import structlog
 
@@ -23,8 +24,8 @@
 from knapweeddock.records import down_key
 from knapweeddock.spread import PushOrder, SpreadNode, Taken
 
-MAX_PUSHES = 500
-"""Pushes under way at a time; more are left to the comparisons."""
+MAX_TASKS = 500
+"""Pushes and comparisons under way at a time; more pushes are left to the comparisons."""
 
 PUSH_TRIES = 3
 """Receivers tried for one push before it is left to the comparisons."""
@@ -40,6 +41,9 @@
         own: What is published about this VM.
         subscriptions: Streams to local processes.
         once: Problems of peers, each logged once.
+        is_synced: Whether a comparison with a peer has succeeded.
+        comparisons_done: Number of comparisons that succeeded.
+        comparisons_failed: Number of comparisons that failed.
     """
 
     def __init__(
@@ -53,7 +57,10 @@
         self.subscriptions = Subscriptions()
         self.once = OnceLog(log=log)
         self.is_synced = False
-        self._pushes: set[asyncio.Task[None]] = set()
+        self.comparisons_done = 0
+        self.comparisons_failed = 0
+        self._comparing: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     # State
 
@@ -133,12 +140,10 @@
     def send(self, orders: list[PushOrder]) -> None:
         """Start pushes without waiting for them."""
         for order in orders:
-            if len(self._pushes) >= MAX_PUSHES:
+            if len(self._tasks) >= MAX_TASKS:
                 self.once.note("push", "too many pushes under way; comparisons will repair")
                 return
-            task = asyncio.create_task(self._push(order))
-            self._pushes.add(task)
-            task.add_done_callback(self._pushes.discard)
+            self._start(self._push(order))
 
     async def _push(self, order: PushOrder) -> None:
         for position, vm in enumerate(order.candidates[:PUSH_TRIES]):
@@ -201,24 +206,49 @@
         if taken.config is Progress.GAP:
             address = self.node.members.agent_address(VmId(request.vm))
             if address:
-                self._start(self._fetch_missing(address))
+                self.start_comparison(address)
         return taken
 
-    async def _fetch_missing(self, address: str) -> None:
+    def start_comparison(self, address: str) -> None:
+        """Compare with an agent in the background, unless that is under way.
+
+        A silent peer then delays neither the heartbeats nor other comparisons.
+        """
+        if address in self._comparing:
+            return
+        self._comparing.add(address)
+        self._start(self._compare_once(address))
+
+    async def _compare_once(self, address: str) -> None:
         try:
             await self.compare(address)
-        except (PeerUnavailable, MessageError) as error:
-            log.info("missing configuration not fetched", peer=address, error=str(error))
+        except PeerUnavailable as error:
+            log.debug("comparison failed", peer=address, error=str(error))
+            self.comparisons_failed += 1
+        except MessageError as error:
+            self.once.warning(address, error)
+            self.comparisons_failed += 1
+        else:
+            self.is_synced = True
+            self.comparisons_done += 1
+            self.settle()
+        finally:
+            self._comparing.discard(address)
 
-    def _start(self, work) -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
-        self._pushes.add(task)
-        task.add_done_callback(self._pushes.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("background task failed", exc_info=task.exception())
 
     async def close(self) -> None:
         """Cancel pushes and close connections."""
-        pushes = list(self._pushes)
-        for task in pushes:
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*pushes, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self.peers.close()
--- a/knapweeddock/agent/metrics.py
+++ b/knapweeddock/agent/metrics.py
@@ -48,14 +48,8 @@
         self.version.set({}, core.node.history.version)
         self.members.set({}, len(core.node.members.views))
         self.suspected.set({}, len(core.node.members.silent_members()))
-
-    def compared(self) -> None:
-        """Count a comparison."""
-        self.comparisons.inc({"result": "done"})
-
-    def comparison_failed(self) -> None:
-        """Count a comparison without an answer."""
-        self.comparisons.inc({"result": "failed"})
+        self.comparisons.set({"result": "done"}, core.comparisons_done)
+        self.comparisons.set({"result": "failed"}, core.comparisons_failed)
 
     def platform_failed(self) -> None:
         """Count a call of the platform that failed."""
--- a/knapweeddock/agent/platform.py
+++ b/knapweeddock/agent/platform.py
@@ -5,6 +5,7 @@
 jitter and asks again, and what it has stays in force.
 """
 
+import asyncio
 import random
 import time
 
@@ -26,6 +27,10 @@
 """Wait of one watch call. Two watchers in each of 93 domains then make 37 calls
 per second, of the two thousand that the platform takes."""
 
+CALL_LIMIT_S = WATCH_TIMEOUT_S + 2.0
+"""Longest duration of a step. A watch that has gone silent is given up then, and
+the next call opens a fresh connection."""
+
 VM_LIST_INTERVAL_S = 5.0
 """Time between two reads of the VM list, with the same cost as the watches."""
 
@@ -93,12 +98,16 @@
             ConfigError: The head or a snapshot is malformed.
         """
         try:
-            found = await self._call()
-            if found is not None:
-                await self._take(found)
+            async with asyncio.timeout(CALL_LIMIT_S):
+                found = await self._call()
+                if found is not None:
+                    await self._take(found)
         except (StoreError, ConfigError):
             self._must_read = True
             raise
+        except TimeoutError as error:
+            self._must_read = True
+            raise StoreUnavailable(f"no answer within {CALL_LIMIT_S} s") from error
 
     async def _call(self) -> StoredObject | None:
         self._watches += 1
--- a/knapweeddock/agent/service.py
+++ b/knapweeddock/agent/service.py
@@ -20,7 +20,7 @@
     is_watcher,
 )
 from knapweeddock.clock import Clock, SystemClock
-from knapweeddock.errors import ConfigError, MessageError, PeerUnavailable, StoreError
+from knapweeddock.errors import ConfigError, StoreError
 from knapweeddock.ids import Incarnation, new_id
 from knapweeddock.objectstore import ObjectStore
 from knapweeddock.settings import AgentSettings
@@ -127,7 +127,7 @@
                 members.restart_heartbeats(now)
             members.update_suspicion(now)
             members.expire(now)
-            await self._compare(tick)
+            self._compare(tick)
             if now - started_at >= SYNC_WAIT_S or not self._seeds():
                 self.core.is_synced = True
             self.core.settle()
@@ -138,7 +138,7 @@
     def _seeds(self) -> list[str]:
         return [seed for seed in self.settings.seeds if seed != self.address]
 
-    async def _compare(self, tick: int) -> None:
+    def _compare(self, tick: int) -> None:
         node = self.core.node
         addresses = [node.members.agent_address(vm) for vm in node.comparison_peers(tick, self.rng)]
         seeds = self._seeds()
@@ -146,16 +146,7 @@
         if seeds and (wants_seed or self.rng.random() < SEED_PROBABILITY):
             addresses.append(self.rng.choice(seeds))
         for address in addresses:
-            try:
-                await self.core.compare(address)
-            except PeerUnavailable as error:
-                log.debug("comparison failed", peer=address, error=str(error))
-                self.metrics.comparison_failed()
-            except MessageError as error:
-                self.core.once.warning(address, error)
-            else:
-                self.core.is_synced = True
-                self.metrics.compared()
+            self.core.start_comparison(address)
 
     @Service.task
     async def _config_loop(self) -> None:
--- a/knapweeddock/lookupd/service.py
+++ b/knapweeddock/lookupd/service.py
@@ -8,7 +8,7 @@
 
 from knapweeddock.ids import new_id
 from knapweeddock.lookup import Lookup
-from knapweeddock.lookupd.subscription import StateFeed
+from knapweeddock.lookupd.subscription import Reporter, StateFeed
 from knapweeddock.lookupd.web import LookupWeb
 from knapweeddock.metrics import ProcessMetrics
 from knapweeddock.settings import LookupSettings
@@ -37,7 +37,6 @@
             vm=settings.vm,
             agents=list(settings.agents),
             lookup=self.lookup,
-            incarnation=new_id(),
             rng=rng or random.Random(),
         )
         self.address = ""
@@ -51,7 +50,13 @@
         self.metrics_address = await self._serve(
             self.web.build_metrics_app(), listen.host, listen.metrics
         )
-        self.feed.address = self.address
+        self.reporter = Reporter(
+            vm=self.settings.vm,
+            agent=self.settings.agents[0],
+            lookup=self.lookup,
+            incarnation=new_id(),
+            address=self.address,
+        )
         log.info("look-up listens", address=self.address)
 
     async def _serve(self, app: web.Application, host: str, port: int) -> str:
@@ -70,3 +75,7 @@
     @Service.task
     async def _feed_loop(self) -> None:
         await self.feed.run()
+
+    @Service.task
+    async def _report_loop(self) -> None:
+        await self.reporter.run()
--- a/knapweeddock/lookupd/subscription.py
+++ b/knapweeddock/lookupd/subscription.py
@@ -54,16 +54,13 @@
         vm: VmId,
         agents: list[str],
         lookup: Lookup,
-        incarnation: str,
         rng: random.Random,
     ) -> None:
         self.vm = vm
         self.agents = agents
         self.lookup = lookup
-        self.incarnation = incarnation
         self.rng = rng
         self.connected = ""
-        self.address = ""
         self._retry_s = RETRY_S
 
     async def run(self) -> None:
@@ -83,17 +80,12 @@
             self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
 
     async def _follow(self, address: str) -> None:
-        is_local = address == self.agents[0]
+        limit_s = None if address == self.agents[0] else RETURN_S
         async with _channel(address) as channel:
-            stub = NodeStub(channel)
-            async with asyncio.TaskGroup() as group:
-                reports = group.create_task(self._report(stub)) if is_local else None
-                try:
-                    await self._read(stub, address, None if is_local else RETURN_S)
-                finally:
-                    self.connected = ""
-                    if reports is not None:
-                        reports.cancel()
+            try:
+                await self._read(NodeStub(channel), address, limit_s)
+            finally:
+                self.connected = ""
 
     async def _read(self, stub: NodeStub, address: str, limit_s: float | None) -> None:
         loop = asyncio.get_running_loop()
@@ -133,20 +125,29 @@
             raise MessageError(f"configuration of {address}: {error}") from error
         return state
 
-    async def _report(self, stub: NodeStub) -> None:
+
+class Reporter:
+    """Tells the local agent where the look-up process listens.
+
+    Attributes:
+        address: ``host:port`` for callers.
+    """
+
+    def __init__(
+        self, *, vm: VmId, agent: str, lookup: Lookup, incarnation: str, address: str
+    ) -> None:
+        self.vm = vm
+        self.agent = agent
+        self.lookup = lookup
+        self.incarnation = incarnation
+        self.address = address
+
+    async def run(self) -> None:
+        """Report until cancelled; each failure is followed by a fresh connection."""
         while True:
-            request = ReportRequest(
-                vm=self.vm,
-                role=ROLE,
-                incarnation=self.incarnation,
-                state=MemberState.SERVING.value,
-                lookup_address=self.address,
-            )
-            if self.lookup.state is not None:
-                request.config_version = self.lookup.state.config_version
             try:
-                async with asyncio.timeout(REPORT_TIMEOUT_S):
-                    await stub.Report(request)
+                async with _channel(self.agent) as channel:
+                    await self._report_on(NodeStub(channel))
             except (
                 TimeoutError,
                 OSError,
@@ -157,6 +158,21 @@
                 log.info("report failed", error=str(error) or type(error).__name__)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    async def _report_on(self, stub: NodeStub) -> None:
+        while True:
+            state = self.lookup.state
+            request = ReportRequest(
+                vm=self.vm,
+                role=ROLE,
+                incarnation=self.incarnation,
+                state=MemberState.SERVING.value,
+                lookup_address=self.address,
+                config_version=state.config_version if state else 0,
+            )
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                await stub.Report(request)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
 
 @asynccontextmanager
 async def _channel(address: str) -> AsyncIterator[Channel]:
--- a/knapweeddock/membership.py
+++ b/knapweeddock/membership.py
@@ -9,8 +9,6 @@
 import math
 from dataclasses import dataclass
 
-import xxhash
-
 from knapweeddock.ids import FailureDomainId, Incarnation, ServerId, VmId
 from knapweeddock.nodestate import member_from_record
 from knapweeddock.proto.knapweed_pb2 import (
@@ -30,6 +28,7 @@
     leaving_key,
     member_key,
 )
+from knapweeddock.rendezvous import hash_parts
 from knapweeddock.state import Member, MemberState
 
 SUSPECT_AFTER_S = 3.0
@@ -55,7 +54,7 @@
     Two members of one domain share a number with a chance of about one in a
     million at 59 members; the consequence is a suspicion that comes late.
     """
-    return xxhash.xxh64_intdigest(f"{vm}\0{incarnation}") & 0xFFFFFFFF
+    return hash_parts(vm, incarnation) & 0xFFFFFFFF
 
 
 def suspect_after_s(domain_size: int) -> float:
--- a/knapweeddock/records.py
+++ b/knapweeddock/records.py
@@ -10,12 +10,11 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import xxhash
-
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import MessageError
 from knapweeddock.ids import FailureDomainId, Incarnation, VmId
 from knapweeddock.proto.knapweed_pb2 import KeyVersion, Record
+from knapweeddock.rendezvous import hash_parts
 from knapweeddock.state import MemberState
 
 MAX_RECORDS = 50_000
@@ -163,12 +162,11 @@
 
 
 def _record_hash(record: Record) -> int:
-    text = f"{record.key}\0{record.incarnation_start_ms}\0{record.version}"
-    return xxhash.xxh64_intdigest(text)
+    return hash_parts(record.key, str(record.incarnation_start_ms), str(record.version))
 
 
 def _bucket_hash(name: str, digest: int) -> int:
-    return xxhash.xxh64_intdigest(f"{name}\0{digest}") if digest else 0
+    return hash_parts(name, str(digest)) if digest else 0
 
 
 class RecordStore:
--- a/knapweeddock/spread.py
+++ b/knapweeddock/spread.py
@@ -11,8 +11,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-import xxhash
-
 from knapweeddock.codes import ResultCode
 from knapweeddock.confighistory import ConfigHistory, Progress
 from knapweeddock.errors import MessageError
@@ -32,6 +30,7 @@
     check_record,
     local_bucket,
 )
+from knapweeddock.rendezvous import hash_parts
 
 WATCHERS = 2
 """Agents of a domain that watch the platform; the second covers for the first."""
@@ -51,11 +50,7 @@
 
 def rank_by_hash(key: str, vms: Iterable[VmId]) -> list[VmId]:
     """Return ``vms`` in the order of rendezvous hashing for ``key``."""
-
-    def weight(vm: VmId) -> tuple[int, str]:
-        return (-xxhash.xxh64_intdigest(f"{key}\0{vm}"), vm)
-
-    return sorted(vms, key=weight)
+    return sorted(vms, key=lambda vm: (-hash_parts(key, vm), vm))
 
 
 def watchers(failure_domain: FailureDomainId, vms: Iterable[VmId]) -> list[VmId]:
