--- a/knapweeddock/membership.py
+++ b/knapweeddock/membership.py
@@ -184,6 +184,9 @@
                 vm = VmId(record.member.vm)
                 if record.failure_domain == self.failure_domain:
                     self.heartbeats.track(vm, record.incarnation, now)
+                else:
+                    self.heartbeats.forget(vm)
+                    self._suspected.discard(vm)
                 self._refresh(vm, now)
             case RecordKind.DETAIL:
                 self._refresh(VmId(record.detail.vm), now)
--- /dev/null
+++ b/tests/test_spread_fuzz.py
@@ -0,0 +1,238 @@
+"""Spread under a faulty network: guards I8, a configuration that reverts or differs."""
+
+import random
+from dataclasses import dataclass
+
+import msgspec
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from knapweeddock.changes import Change, Head, VersionedDocument
+from knapweeddock.confighistory import Progress
+from knapweeddock.ids import ChangeId, FailureDomainId, Version, VmId
+from knapweeddock.proto.knapweed_pb2 import ExchangeReply, ExchangeRequest, PushRequest
+from knapweeddock.spread import PushOrder, SpreadNode
+from tests.test_records import member
+
+PLACES = {"a": "d-1", "b": "d-1", "c": "d-1", "d": "d-2", "e": "d-2", "f": "d-3"}
+INLINE_CHANGES = 3
+vm_names = st.sampled_from(sorted(PLACES))
+
+
+@dataclass
+class Envelope:
+    """A message on its way; ``peer_version`` is kept between the rounds of a comparison."""
+
+    sender: str
+    receiver: str
+    body: ExchangeRequest | ExchangeReply | PushRequest
+    peer_version: int | None = None
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Nodes that spread a configuration and their member records.
+
+    The oracle knows only the accepted patches: the document at version v is
+    what setting and removing their keys in order gives.
+    """
+
+    @initialize(seed=st.integers(0, 2**16))
+    def set_up(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.start_ms = 0
+        self.patches: list[dict[str, int | None]] = []
+        self.documents: list[dict[str, int]] = [{}]
+        self.flight: list[Envelope] = []
+        self.cut: set[str] = set()
+        self.nodes: dict[str, SpreadNode] = {}
+        self.versions: dict[str, int] = {}
+        self.member_versions: dict[str, tuple[int, int]] = {}
+        for vm in PLACES:
+            self.start(vm)
+
+    def start(self, vm: str) -> None:
+        domain = FailureDomainId(PLACES[vm])
+        self.nodes[vm] = SpreadNode(vm=VmId(vm), failure_domain=domain)
+        self.versions[vm] = 0
+        self.start_ms += 1
+        self.publish(vm, self.start_ms, 1)
+
+    def publish(self, vm: str, start: int, version: int) -> None:
+        record = member(vm, domain=PLACES[vm], start=start, version=version)
+        self.member_versions[vm] = (start, version)
+        self.nodes[vm].take([record], self.now)
+        self.send(vm, self.nodes[vm].push_everywhere([record], self.rng))
+
+    def send(self, sender: str, orders: list[PushOrder]) -> None:
+        for order in orders:
+            request = PushRequest()
+            request.CopyFrom(order.request)
+            if order.pass_on:
+                request.forward_to.extend(order.candidates[1:])
+            self.flight.append(Envelope(sender, order.candidates[0], request))
+
+    # Faults and inputs
+
+    @rule(key=st.sampled_from("xyz"), value=st.none() | st.integers(0, 9))
+    def accept_change(self, key: str, value: int | None) -> None:
+        document = dict(self.documents[-1])
+        if value is None:
+            document.pop(key, None)
+        else:
+            document[key] = value
+        self.patches.append({key: value})
+        self.documents.append(document)
+
+    @precondition(lambda self: self.patches)
+    @rule(vm=vm_names, lag=st.integers(0, 4))
+    def read_platform(self, vm: str, lag: int) -> None:
+        """The answer may be old; a node that misses changes gets the snapshot."""
+        version = max(1, len(self.patches) - lag)
+        first = max(1, version - INLINE_CHANGES + 1)
+        changes = [
+            Change(
+                version=Version(n),
+                change_id=ChangeId(str(n)),
+                operator="o",
+                at=0.0,
+                patch=self.patches[n - 1],
+            )
+            for n in range(first, version + 1)
+        ]
+        history = self.nodes[vm].history
+        before = history.version
+        progress = history.take_head(Head(version=Version(version), changes=changes))
+        if progress is Progress.GAP:
+            document = msgspec.json.decode(msgspec.json.encode(self.documents[version]))
+            progress = history.take_snapshot(
+                VersionedDocument(version=Version(version), document=document)
+            )
+        if progress is Progress.ADVANCED:
+            news = self.nodes[vm].config_news(before)
+            self.send(vm, self.nodes[vm].push_everywhere(news, self.rng))
+
+    @rule(vm=vm_names)
+    def change_member(self, vm: str) -> None:
+        start, version = self.member_versions[vm]
+        self.publish(vm, start, version + 1)
+
+    @rule(vm=vm_names)
+    def restart(self, vm: str) -> None:
+        self.start(vm)
+
+    @rule(vm=vm_names)
+    def cut_off(self, vm: str) -> None:
+        self.cut.add(vm)
+
+    @rule(vm=vm_names)
+    def reconnect(self, vm: str) -> None:
+        self.cut.discard(vm)
+
+    @rule(one=vm_names, other=vm_names)
+    def start_comparison(self, one: str, other: str) -> None:
+        if one != other:
+            node = self.nodes[one]
+            self.flight.append(Envelope(one, other, node.with_heartbeats(node.first_request())))
+
+    @precondition(lambda self: self.flight)
+    @rule(count=st.integers(1, 8), data=st.data(), fate=st.sampled_from(["once", "twice", "lost"]))
+    def deliver(self, count: int, data: st.DataObject, fate: str) -> None:
+        """Take messages from any place in the flight; a doubled one stays in it."""
+        for _ in range(count):
+            if not self.flight:
+                return
+            position = data.draw(st.integers(0, len(self.flight) - 1))
+            envelope = self.flight[position]
+            if fate != "twice":
+                del self.flight[position]
+            if fate != "lost":
+                self.receive(envelope)
+
+    @rule(seconds=st.floats(0.1, 5.0))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for node in self.nodes.values():
+            node.members.update_suspicion(self.now)
+
+    # Network
+
+    def receive(self, envelope: Envelope) -> None:
+        if envelope.sender in self.cut or envelope.receiver in self.cut:
+            return
+        node = self.nodes[envelope.receiver]
+        match envelope.body:
+            case PushRequest() as push:
+                taken = node.take(push.records, self.now)
+                assert not taken.errors
+                self.send(envelope.receiver, node.pass_on(push, taken, self.rng))
+            case ExchangeRequest() as request:
+                reply = node.answer(request, self.now)
+                self.flight.append(
+                    Envelope(envelope.receiver, envelope.sender, reply, envelope.peer_version)
+                )
+            case ExchangeReply() as reply:
+                self.receive_reply(node, envelope, reply)
+
+    def receive_reply(self, node: SpreadNode, envelope: Envelope, reply: ExchangeReply) -> None:
+        assert not node.take(reply.records, self.now).errors
+        sender = envelope.sender
+        if envelope.peer_version is None:
+            second = node.second_request(reply, self.now)
+            if second is not None:
+                self.flight.append(Envelope(node.vm, sender, second, reply.config_version))
+                return
+        version = envelope.peer_version or reply.config_version
+        push = node.final_push(reply.wanted, version)
+        if push is not None:
+            self.flight.append(Envelope(node.vm, sender, push))
+
+    # What must hold
+
+    @invariant()
+    def versions_never_fall(self) -> None:
+        for vm, node in getattr(self, "nodes", {}).items():
+            assert node.history.version >= self.versions[vm]
+            self.versions[vm] = node.history.version
+
+    @invariant()
+    def a_version_is_one_document(self) -> None:
+        for node in getattr(self, "nodes", {}).values():
+            assert node.history.document == self.documents[node.history.version]
+
+    @rule()
+    def converge(self) -> None:
+        """With messages flowing, a bounded number of ticks makes all nodes equal."""
+        self.cut.clear()
+        for tick in range(12):
+            for vm, node in self.nodes.items():
+                peers = node.comparison_peers(tick, self.rng) or ["a" if vm != "a" else "d"]
+                for peer in peers:
+                    self.start_comparison(vm, peer)
+            while self.flight:
+                self.receive(self.flight.pop(0))
+        newest = max(node.history.version for node in self.nodes.values())
+        for node in self.nodes.values():
+            assert node.history.version == newest
+            held = {
+                vm: (record.incarnation_start_ms, record.version)
+                for vm in PLACES
+                if (record := node.store.records.get(f"member/{vm}"))
+            }
+            assert held == self.member_versions
+            assert node.store.root == self.nodes["a"].store.root
+
+    def teardown(self) -> None:
+        if hasattr(self, "nodes"):
+            self.converge()
+
+
+SpreadMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestSpread = SpreadMachine.TestCase
