--- a/knapweeddock/changes.py
+++ b/knapweeddock/changes.py
@@ -11,7 +11,7 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
-from knapweeddock.ids import ChangeId, Version
+from knapweeddock.ids import ChangeId, Version, new_id
 
 HEAD_KEY = "config/head"
 SNAPSHOT_PREFIX = "config/snapshots/"
@@ -197,12 +197,12 @@
     return sum(len(encode(change)) for change in head.changes) > MAX_INLINE_BYTES
 
 
-def snapshot_key(change: Change) -> str:
-    """Return the key of the snapshot that ``change`` makes necessary.
+def snapshot_key(version: Version) -> str:
+    """Return a new key for the snapshot of ``version``.
 
-    The change id makes it unique, so that racing writers never share one.
+    Keys sort by version; the random part keeps racing writers apart.
     """
-    return f"{SNAPSHOT_PREFIX}{change.version:012d}-{change.change_id}"
+    return f"{SNAPSHOT_PREFIX}{version:012d}-{new_id()}"
 
 
 def trim(head: Head, key: str) -> Head:
@@ -234,7 +234,7 @@
     """
     try:
         data = encode(document)
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, RecursionError) as error:
         raise ConfigError(f"the document cannot be encoded as JSON: {error}") from error
     if len(data) > MAX_DOCUMENT_BYTES:
         raise ConfigError(
