--- a/knapweeddock/checks.py
+++ b/knapweeddock/checks.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from ipaddress import IPv4Network, IPv6Network, ip_network
 
+import msgspec
+
 from knapweeddock.changes import Document, check_size
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
@@ -48,33 +50,32 @@
         if not folder.document.get(part):
             walk.report(ResultCode.MISSING_FIELD, (part,), "nothing", "at least one item")
     rest = {key: value for key, value in folder.document.items() if key != DRAINS}
-    return _check(rest, walk)
+    config = decode_config(walk.usable(rest, Config))
+    _Checks(document=rest, config=config, walk=walk).run()
+    try:
+        check_size(rest)
+    except ConfigError as error:
+        walk.problems.append(error)
+    if walk.problems:
+        raise_problems(walk.problems)
+    return config
 
 
-def check_document(document: Document) -> Config:
-    """Check a whole document that does not come from a folder.
+def config_of(document: Document) -> Config:
+    """Return the configuration of a document that the platform holds.
 
-    Drains may name objects that are not defined: a server that is drained and
-    then removed from the folder leaves its drain behind, which has no effect.
+    Fields that are not known are ignored, as nodes do, so that the commands
+    go on working beside a newer version.
 
     Raises:
-        ExceptionGroup: All problems, each one a ``ConfigError``.
+        ConfigError: The document does not have the right form.
     """
-    return _check(document, Walk(origin=lambda _: "configuration"))
-
-
-def _check(document: Document, walk: Walk) -> Config:
-    usable = walk.usable(document, Config)
-    config = decode_config(usable)
-    checks = _Checks(document=document, config=config, walk=walk)
-    checks.run()
     try:
-        check_size(document)
-    except ConfigError as error:
-        walk.problems.append(error)
-    if walk.problems:
-        raise_problems(walk.problems)
-    return config
+        return decode_config(document)
+    except msgspec.ValidationError as error:
+        raise ConfigError(
+            f"the platform's configuration is malformed: {error}", code=ResultCode.WRONG_TYPE
+        ) from error
 
 
 def _names(document: Document, part: str) -> set[str]:
--- a/knapweeddock/drains.py
+++ b/knapweeddock/drains.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 
 from knapweeddock.changes import Document, merge_document
-from knapweeddock.checks import DRAINS
+from knapweeddock.checks import DRAINS, config_of
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
 from knapweeddock.explain import pool_sites
 from knapweeddock.ids import FailureDomainId, ServerId, SiteId, VmId
 from knapweeddock.model import Config
-from knapweeddock.problems import Problem, raise_problems, show
+from knapweeddock.problems import Problem, format_path, raise_problems, show
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -49,7 +49,7 @@
     Raises:
         ExceptionGroup: A name is not defined.
     """
-    _check_defined(document, targets)
+    _check_defined(config_of(document), targets)
     patch = {part: dict.fromkeys(names, True) for part, names in targets.parts().items()}
     return merge_document(document, {DRAINS: patch})
 
@@ -67,8 +67,8 @@
     return merge_document(document, {DRAINS: patch})
 
 
-def _check_defined(document: Document, targets: Targets) -> None:
-    defined = _defined_names(document)
+def _check_defined(config: Config, targets: Targets) -> None:
+    defined = _defined_names(config)
     problems = [
         Problem(
             code=ResultCode.UNKNOWN_REFERENCE,
@@ -86,28 +86,32 @@
         raise_problems(problems)
 
 
-def _defined_names(document: Document) -> dict[str, set[str]]:
+def _defined_names(config: Config) -> dict[str, set[str]]:
     """Return the names that can be drained; VMs are not part of a configuration."""
-    sites = document.get("sites", {})
-    regions = document.get("regions", {})
+    regions = config.regions.values()
     return {
-        "sites": set(sites),
-        "servers": {server for site in sites.values() for server in site["servers"]},
-        "failure_domains": {
-            domain for region in regions.values() for domain in region["failure_domains"]
-        },
+        "servers": {server for site in config.sites.values() for server in site.servers},
+        "sites": set(config.sites),
+        "failure_domains": {domain for region in regions for domain in region.failure_domains},
     }
 
 
 def unused_drains(config: Config) -> list[str]:
-    """Return drains that name nothing in the configuration, as ``kind name``."""
-    servers = {server for site in config.sites.values() for server in site.servers}
-    domains = {domain for region in config.regions.values() for domain in region.failure_domains}
-    drains = config.drains
+    """Return the paths of drains that name nothing in the configuration.
+
+    They are left when a drained object is removed from the folder.
+    """
+    drained = {
+        "servers": config.drains.servers,
+        "sites": config.drains.sites,
+        "failure_domains": config.drains.failure_domains,
+    }
+    defined = _defined_names(config)
     return [
-        *(f"server {name}" for name in drains.servers if name not in servers),
-        *(f"site {name}" for name in drains.sites if name not in config.sites),
-        *(f"failure domain {name}" for name in drains.failure_domains if name not in domains),
+        format_path((DRAINS, part, name))
+        for part, names in drained.items()
+        for name in names
+        if name not in defined[part]
     ]
 
 
--- a/knapweeddock/porcelain.py
+++ b/knapweeddock/porcelain.py
@@ -12,7 +12,7 @@
 from knapweeddock import changes
 from knapweeddock.base import Base
 from knapweeddock.changes import Document
-from knapweeddock.checks import DRAINS, check_document, check_folder
+from knapweeddock.checks import DRAINS, check_folder, config_of
 from knapweeddock.clock import Clock, SystemClock
 from knapweeddock.codes import ResultCode
 from knapweeddock.drains import (
@@ -27,7 +27,7 @@
 from knapweeddock.folder import Folder, read_folder
 from knapweeddock.headstore import fetch_document, read_head
 from knapweeddock.ids import Version
-from knapweeddock.model import Config, decode_config
+from knapweeddock.model import Config
 from knapweeddock.objectstore import ObjectStore
 from knapweeddock.publish import Current, Published, Publisher
 from knapweeddock.reports import (
@@ -158,7 +158,7 @@
     targets.check_not_empty()
     published = await session.publish(lambda current: with_drains(current.document, targets))
     warnings = await _unknown_vms(session, targets)
-    config = decode_config(published.document)
+    config = config_of(published.document)
     warnings += [f"no site of pool {pool} is left in service" for pool in unserved_pools(config)]
     return await _report(session, published, wait_s, warnings)
 
@@ -198,7 +198,7 @@
     except PeerUnavailable as error:
         code = code or error.code
         errors.append(f"members: {error}")
-    config = decode_config(current.document) if current else Config()
+    config = config_of(current.document) if current else Config()
     version = current.head.version if current else None
     return StatusReport(
         code=code,
@@ -230,7 +230,7 @@
         return explain_request(check_folder(read_folder(directory)), request)
     assert session is not None
     current = await read_current(session.store)
-    return explain_request(check_document(current.document), request)
+    return explain_request(config_of(current.document), request)
 
 
 async def read_current(store: ObjectStore) -> Current:
