Serve the members' status and run the demonstration end to end

The command could not say on which VMs a change is in force: no process served /v1/status. Look-up processes now do, from the member records. The platform stand-in quotes entity tags, as HTTP requires; without the quotes each conditional write after the first ended as a conflict.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -7,13 +7,15 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from bench.load import LoadRun, addresses_of, make_callers
 from bench.mix import call_shapes, endless_calls
 from bench.summary import BrokenPromises, by_class, compare_with_logs
 from demo.scenario import Findings, knapweed, run_steps, say
-from knapweeddock.folder import load_folder
+from knapweeddock.folder import read_folder
 from standins.caller import CallOutcome, caller_session
 from standins.deployment import Deployment
 from standins.processes import all_stopped
@@ -31,7 +33,7 @@
     """Copy an example's folder and describe its processes."""
     config = root / "config"
     shutil.copytree(EXAMPLES / example, config)
-    document = load_folder(config).document
+    document = read_folder(config).document
     deployment = Deployment(root=root, config=config, document=document, service_ms=SERVICE_MS)
     deployment.prepare()
     return deployment
@@ -115,14 +117,26 @@
     return 1 if broken.count or findings.broken else 0
 
 
+@contextmanager
+def working_folder(keep: Path | None) -> Iterator[Path]:
+    """Yield the folder for settings and logs; remove it at the end unless it is named."""
+    if keep is not None:
+        keep.mkdir(parents=True)
+        yield keep
+        return
+    with tempfile.TemporaryDirectory(prefix="knapweeddock-") as folder:
+        yield Path(folder)
+
+
 def main() -> int:
     """Read the arguments and run."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--example", choices=sorted(CALLER_DELAY_S), default="karoo-vaal")
+    parser.add_argument("--keep", type=Path, metavar="FOLDER", help="keep settings and logs here")
     arguments = parser.parse_args()
     started = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="knapweeddock-") as folder:
-        status = asyncio.run(demonstrate(arguments.example, Path(folder)))
+    with working_folder(arguments.keep) as folder:
+        status = asyncio.run(demonstrate(arguments.example, folder))
     say(f"ended after {time.monotonic() - started:.0f} s with status {status}")
     return status
 
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -79,7 +79,7 @@
 async def drain_a_server(deployment: Deployment, findings: Findings) -> None:
     """Drain a busy server and check that it gets no new work after the bound."""
     server = deployment.servers[0].server
-    result = await knapweed(deployment, "drain", "server", server)
+    result = await knapweed(deployment, "drain", "--server", server)
     accepted_at = time.time()
     if result.status != 0:
         findings.broken.append(f"drain of {server} was not accepted: {result.output}")
@@ -90,7 +90,7 @@
     say(f"  {server}: last new work {findings.drain_s:.2f} s after the drain was accepted")
     if findings.drain_s > LEAVING_BOUND_S:
         findings.broken.append(f"{server} got new work {findings.drain_s:.1f} s after its drain")
-    await knapweed(deployment, "undrain", "server", server)
+    await knapweed(deployment, "undrain", "--server", server)
 
 
 async def change_the_configuration(deployment: Deployment, findings: Findings) -> None:
--- a/knapweeddock/lookupd/web.py
+++ b/knapweeddock/lookupd/web.py
@@ -9,6 +9,8 @@
 from knapweeddock.errors import KnapweedError
 from knapweeddock.lookup import Lookup
 from knapweeddock.metrics import ProcessMetrics
+from knapweeddock.state import Member
+from knapweeddock.statusclient import MemberStatus, SystemStatus
 
 RETRY_AFTER_MS = 500
 """When a caller should ask again that got no entry; members change within seconds."""
@@ -41,6 +43,7 @@
         """Return the application that answers look-ups."""
         app = web.Application(client_max_size=1024)
         app.router.add_get("/v1/lookup", self.handle_lookup)
+        app.router.add_get("/v1/status", self.handle_status)
         return app
 
     def build_metrics_app(self) -> web.Application:
@@ -64,6 +67,18 @@
             headers={"Cache-Control": f"max-age={answer.lifetime_ms // 1000}"},
         )
 
+    async def handle_status(self, request: web.Request) -> web.Response:
+        """Answer ``GET /v1/status``: the members as this process knows them."""
+        state = self.lookup.state
+        if state is None:
+            error = KnapweedError("no state of an agent yet", code=ResultCode.NOT_READY)
+            return self._refuse(error)
+        status = SystemStatus(
+            config_version=state.config_version,
+            members=[_status_of(member) for member in state.members.values()],
+        )
+        return web.Response(body=msgspec.json.encode(status), content_type="application/json")
+
     def _refuse(self, error: KnapweedError) -> web.Response:
         status = CODE_INFO[error.code].http_status
         retry_after_ms = RETRY_AFTER_MS if status == 503 else 0
@@ -91,6 +106,18 @@
         return await self.metrics.handle(request)
 
 
+def _status_of(member: Member) -> MemberStatus:
+    return MemberStatus(
+        vm=member.vm,
+        failure_domain=member.failure_domain,
+        state=member.state,
+        down=member.down,
+        suspected=member.suspected,
+        config_version=member.config_version,
+        load=member.load,
+    )
+
+
 def _parameter(request: web.Request, name: str) -> str:
     values = request.query.getall(name, [])
     if len(values) != 1 or not 0 < len(values[0]) <= MAX_PARAMETER_LENGTH:
--- a/knapweeddock/nodestate.py
+++ b/knapweeddock/nodestate.py
@@ -76,6 +76,7 @@
         agent_address=record.agent_address,
         settled_views={SiteId(site): ViewId(view) for site, view in record.settled_views.items()},
         load=record.load,
+        config_version=Version(record.config_version),
         suspected=suspected,
         down=down,
     )
@@ -103,7 +104,11 @@
     elif document is None:
         document = msgspec.json.encode(state.config)
     members = [
-        MemberView(member=member_to_record(member), suspected=member.suspected, down=member.down)
+        MemberView(
+            member=member_to_record(member, config_version=member.config_version),
+            suspected=member.suspected,
+            down=member.down,
+        )
         for member in state.members.values()
     ]
     return NodeStateMessage(
--- a/knapweeddock/state.py
+++ b/knapweeddock/state.py
@@ -6,6 +6,9 @@
 from knapweeddock.ids import FailureDomainId, Incarnation, ServerId, SiteId, Version, ViewId, VmId
 from knapweeddock.model import Config
 
+NO_VERSION = Version(0)
+"""Version of an entry that has no configuration yet."""
+
 
 class MemberState(Enum):
     """State of the entry process of a VM."""
@@ -33,6 +36,7 @@
         settled_views: The newest view of each local site that the entry has
             settled in.
         load: Busy fraction of the entry's slots, from 0 to 1.
+        config_version: Version of the configuration in force in the entry.
         suspected: Whether heartbeats are missing.
         down: Whether there is evidence that this incarnation is gone.
     """
@@ -48,6 +52,7 @@
     agent_address: str = ""
     settled_views: dict[SiteId, ViewId] = field(default_factory=dict)
     load: float = 0.0
+    config_version: Version = NO_VERSION
     suspected: bool = False
     down: bool = False
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -60,31 +60,31 @@
     return web.Response(status=500)
 
 
+def entity_tag(version: int) -> str:
+    """Return a version as a quoted entity tag."""
+    return f'"{version}"'
+
+
 async def get_object(request: web.Request) -> web.Response:
     """Answer a read of one object."""
     stored = request.app[STATE].objects.get(request.match_info["key"])
     if stored is None:
         return web.Response(status=404)
-    return web.Response(body=stored.body, headers={"ETag": str(stored.version)})
+    return web.Response(body=stored.body, headers={"ETag": entity_tag(stored.version)})
 
 
 async def list_objects(request: web.Request) -> web.Response:
-    """Answer the keys and versions below a prefix."""
+    """Answer the keys below a prefix."""
     prefix = request.query.get("prefix", "")
-    objects = request.app[STATE].objects
-    found = [
-        {"key": key, "version": stored.version}
-        for key, stored in sorted(objects.items())
-        if key.startswith(prefix)
-    ]
-    return web.json_response({"objects": found})
+    keys = [key for key in sorted(request.app[STATE].objects) if key.startswith(prefix)]
+    return web.json_response({"keys": keys})
 
 
 def precondition_holds(request: web.Request, version: int) -> bool:
     """Return whether the conditional headers allow a write at ``version``."""
     expected = request.headers.get("If-Match")
     if expected is not None:
-        return expected == str(version) and version != 0
+        return expected.strip('"') == str(version) and version != 0
     if request.headers.get("If-None-Match") == "*":
         return version == 0
     return True
@@ -98,12 +98,12 @@
     if len(body) > MAX_VALUE_BYTES:
         return web.Response(status=413)
     if not precondition_holds(request, state.version_of(key)):
-        return web.Response(status=412, headers={"ETag": str(state.version_of(key))})
+        return web.Response(status=412, headers={"ETag": entity_tag(state.version_of(key))})
     version = state.store(key, body)
     if state.faults.lose_answers > 0:
         state.faults.lose_answers -= 1
         return close_without_answer(request)
-    return web.Response(headers={"ETag": str(version)})
+    return web.Response(headers={"ETag": entity_tag(version)})
 
 
 async def delete_object(request: web.Request) -> web.Response:
