--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -71,6 +71,9 @@
     assert await held(store) == DOCUMENT
     again = await porcelain.apply(session(store), folder)
     assert (again.version, again.change_id) == (1, None)
+    # After a lost answer the command is run again without a base.
+    (folder / bases.BASE_FILE).unlink()
+    assert (await porcelain.apply(session(store), folder)).change_id is None
 
 
 async def test_change_of_others_is_not_overwritten(store, folder, tmp_path):
