--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+from yarl import URL
 
 from knapweeddock.entry.service import EntryService
 from knapweeddock.model import BackendServer, Config, RequestClass, Service, Site
@@ -191,7 +192,7 @@
         }
 
     def request(self, method, path, *, headers=None, **options):
-        url = f"http://{self.service.ports.public.address}{path}"
+        url = URL(f"http://{self.service.ports.public.address}{path}", encoded=True)
         return self.session.request(
             method, url, headers={"Host": "ledger.test", **(headers or {})}, **options
         )
--- /dev/null
+++ b/tests/entry/test_agentlink.py
@@ -0,0 +1,101 @@
+import asyncio
+from contextlib import asynccontextmanager
+
+from grpclib.server import Server
+
+from knapweeddock.nodestate import state_to_message
+from knapweeddock.proto.knapweed_grpc import NodeBase
+from knapweeddock.proto.knapweed_pb2 import NodeStateMessage, ReportReply
+from knapweeddock.state import MemberState, NodeState
+from tests.entry.support import backend, config_of, entry, member_of, ok, settings_of, until
+
+
+class Agent(NodeBase):
+    """An agent that sends what it is told and keeps the reports."""
+
+    def __init__(self):
+        self.messages = None
+        self.reports = []
+        self.subscriptions = 0
+
+    async def Subscribe(self, stream):
+        messages = self.messages = asyncio.Queue()
+        self.subscriptions += 1
+        await stream.recv_message()
+        while True:
+            await stream.send_message(await messages.get())
+
+    async def Report(self, stream):
+        self.reports.append(await stream.recv_message())
+        await stream.send_message(ReportReply())
+
+    async def send(self, message, *, subscription=1):
+        """Send on the newest stream, when there were enough of them."""
+        await until(lambda: self.subscriptions >= subscription)
+        self.messages.put_nowait(message)
+
+
+@asynccontextmanager
+async def agent_and_entry(*, feed_first=True, **limits):
+    agent = Agent()
+    server = Server([agent])
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    settings = settings_of(agent=f"127.0.0.1:{port}", **limits)
+    async with backend(ok) as back, entry(settings=settings, wait=False) as service:
+        config = config_of([back.address])
+        if feed_first:
+            await agent.send(message_of(service, config, 1))
+            await until(lambda: service.handling.member_state is MemberState.SERVING)
+        yield agent, service, config
+    server.close()
+
+
+def message_of(service, config, version, **options):
+    state = NodeState(config_version=version, config=config, members={"vm1": member_of(service)})
+    return state_to_message(state, **options)
+
+
+async def test_the_entry_joins_and_reports_itself():
+    """Guards against look-ups that name an entry before it can serve."""
+    async with agent_and_entry(feed_first=False) as (agent, service, config):
+        await until(lambda: agent.reports)
+        assert agent.reports[0].state == "joining"
+        await agent.send(message_of(service, config, 1))
+        await until(lambda: agent.reports[-1].state == "serving")
+        await until(lambda: agent.reports[-1].settled_views)
+        report = agent.reports[-1]
+        assert (report.vm, report.role) == ("vm1", "entry")
+        assert report.incarnation == service.incarnation
+        assert report.public_address == service.ports.public.address
+        assert report.internal_address == service.ports.internal.address
+        assert report.lending_address == service.ports.lending.address
+        assert report.config_version == 1
+
+
+async def test_the_last_state_stays_when_the_stream_goes_silent():
+    """Guards against a silent stream that is never replaced, and lost state."""
+    async with agent_and_entry(agent_silence_s=0.05) as (agent, service, config):
+        await until(lambda: agent.subscriptions >= 2)
+        assert service.loop_service.node_state.config_version == 1
+        await agent.send(message_of(service, config, 2))
+        await until(lambda: service.loop_service.node_state.config_version == 2)
+
+
+async def test_a_bad_message_replaces_the_stream():
+    """Guards against a malformed message that ends the link for good."""
+    async with agent_and_entry() as (agent, service, config):
+        await agent.send(NodeStateMessage(config_version=2, document=b"{"))
+        unchanged = message_of(service, config, 3, document_unchanged=True)
+        await agent.send(unchanged, subscription=2)
+        await agent.send(message_of(service, config, 4), subscription=3)
+        await until(lambda: service.loop_service.node_state.config_version == 4)
+
+
+async def test_an_own_down_record_ends_the_process():
+    """Guards against two entries that use the same slots."""
+    async with agent_and_entry() as (agent, service, config):
+        message = message_of(service, config, 2)
+        message.members[0].down = True
+        await agent.send(message)
+        await until(service.marked_down.is_set)
--- /dev/null
+++ b/tests/entry/test_process.py
@@ -0,0 +1,56 @@
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from knapweeddock.entry.__main__ import app
+from tests.entry.support import ok, serving
+
+SETTINGS = """{vm: 'vm1', failure_domain: 'd1', listen: {host: '127.0.0.1'},
+agent: '127.0.0.1:1'}"""
+
+
+async def test_metrics_count_answers_and_attempts():
+    """Guards against a metrics port that serves nothing."""
+    async with serving(ok) as run:
+        await run.send("GET")
+        url = f"http://{run.service.ports.metrics.address}/metrics"
+        async with run.caller.session.get(url) as response:
+            text = await response.text()
+    assert 'knapweed_requests_total{code="0",port="public",process="entry",vm="vm1"} 1' in text
+    assert 'receiver="server"' in text
+
+
+def test_bad_settings_end_with_the_group_of_the_code(tmp_path, capsys):
+    """Guards against a traceback in place of a numbered error."""
+    file = tmp_path / "entry.json"
+    file.write_text(SETTINGS.replace("vm:", "wm:"))
+    with pytest.raises(SystemExit) as caught:
+        sys.exit(app(["--settings", str(file)], result_action="return_value"))
+    assert caught.value.code == 3
+    assert "$.wm" in capsys.readouterr().err
+
+
+async def test_the_process_starts_and_ends_on_sigterm(tmp_path):
+    """Guards against a daemon that cannot start or ignores SIGTERM."""
+    file = tmp_path / "entry.json"
+    file.write_text(SETTINGS)
+    command = ["-m", "knapweeddock.entry", "--settings", str(file)]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *command, stderr=asyncio.subprocess.PIPE, env=os.environ
+    )
+    lines = []
+    async with asyncio.timeout(20):
+        while not any(line["event"] == "entry started" for line in lines):
+            lines.append(json.loads(await process.stderr.readline()))
+        process.send_signal(signal.SIGTERM)
+        _, rest = await process.communicate()
+    lines += [json.loads(line) for line in rest.splitlines()]
+    assert process.returncode == 0
+    assert [line["state"] for line in lines if line["event"] == "state changed"] == [
+        "leaving",
+        "left",
+    ]
--- a/tests/entry/test_proxy.py
+++ b/tests/entry/test_proxy.py
@@ -267,12 +267,57 @@
 
 async def test_a_draining_answer_keeps_new_work_away():
     """Guards against new work on a server that said it is leaving."""
+    seen = []
+
+    def script_of(name):
+        async def script(number, head, body, writer):
+            seen.append(name)
+            writer.write(answer(b"bye", headers=["Backend-Draining: 1"] * (len(seen) == 1)))
+            return True
+
+        return script
+
+    async with serving(script_of("a"), script_of("b")) as run:
+        for _ in range(4):
+            assert (await run.send("GET"))[0].status == 200
+    assert seen[0] not in seen[1:]
+
+
+async def test_queued_work_of_a_caller_that_left_is_still_sent():
+    """Guards against losing the body of a keyed request that waits for a slot."""
+    release = asyncio.Event()
 
     async def script(number, head, body, writer):
-        writer.write(answer(b"bye", headers=["Backend-Draining: 1"]))
+        await release.wait()
+        writer.write(answer(body))
         return True
 
-    async with serving(script, ok) as run:
-        for _ in range(8):
-            assert (await run.send("GET"))[0].status == 200
-    assert len(run.servers[0].heads) <= 1
+    async with serving(script) as run:
+        keys = [run.caller.key(f"k{n}") for n in range(4)]
+        calls = [asyncio.ensure_future(run.send("POST", headers=k, data=b"book")) for k in keys]
+        await until(lambda: len(run.server.heads) == 3)
+        await until(lambda: len(run.service.loop_service.pending) == 4)
+        (waiting,) = run.service.loop_service.dispatcher.queues["p"]
+        index = keys.index(next(k for k in keys if k["Idempotency-Key"] == waiting.key.key))
+        calls[index].cancel()
+        await until(lambda: run.service.loop_service.gone)
+        release.set()
+        assert await run.send("POST", headers=keys[index], data=b"book")
+        await until(lambda: not run.service.loop_service.gone)
+        await asyncio.wait(calls)
+    assert run.server.bodies == [b"book"] * 4
+
+
+async def test_headers_that_are_not_utf8_do_not_break_the_request():
+    """Guards against an encoding error on the way to the server or back."""
+
+    async def script(number, head, body, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Back: \xe4\r\nContent-Length: 2\r\n\r\nok")
+        return True
+
+    async with serving(script) as run:
+        host, port = run.service.ports.public.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /x HTTP/1.1\r\nHost: ledger.test\r\nX-There: \xe4\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        writer.close()
--- /dev/null
+++ b/tests/entry/test_requests.py
@@ -0,0 +1,190 @@
+import asyncio
+import json
+
+import pytest
+
+from tests.entry.support import Caller, Serving, answer, entry, ok, serving, until
+
+
+def counting():
+    async def script(number, head, body, writer):
+        writer.write(answer(b"run %d" % number))
+        return True
+
+    return script
+
+
+async def outcome(run, headers):
+    return await run.send("POST", "/knapweed/v1/outcome", headers=headers)
+
+
+async def test_a_repeated_key_gets_the_kept_answer():
+    """Guards against running a charge twice when the caller asks again."""
+    async with serving(counting()) as run:
+        headers = run.caller.key()
+        for _ in range(3):
+            response, body = await run.send("POST", headers=headers, data=b"charge")
+            assert (response.status, body) == (200, b"run 1")
+        response, body = await run.send("POST", headers=headers, data=b"other")
+        assert (response.status, json.loads(body)["code"]) == (422, 107)
+        response, body = await outcome(run, headers)
+        assert (response.headers["Knapweed-Outcome"], body) == ("complete", b"run 1")
+
+
+async def test_repetitions_join_the_running_attempt():
+    """Guards against a second attempt, and against more than one answer each."""
+    release = asyncio.Event()
+
+    async def script(number, head, body, writer):
+        await release.wait()
+        writer.write(answer(b"run %d" % number))
+        return True
+
+    async with serving(script) as run:
+        headers = run.caller.key()
+        calls = [asyncio.ensure_future(run.send("POST", headers=headers)) for _ in range(3)]
+        await until(lambda: len(run.service.loop_service.pending) == 3)
+        response, body = await outcome(run, headers)
+        assert (response.status, json.loads(body)["outcome"]) == (202, "running")
+        release.set()
+        assert [(await call)[1] for call in calls] == [b"run 1"] * 3
+    assert len(run.server.heads) == 1
+
+
+async def test_an_answer_too_large_to_keep_is_forgotten():
+    """Guards against unbounded memory for kept answers."""
+    async with serving(counting(), kept_answer_limit=1) as run:
+        headers = run.caller.key()
+        assert (await run.send("POST", headers=headers))[0].status == 200
+        assert json.loads((await run.send("POST", headers=headers))[1])["code"] == 206
+        response, body = await outcome(run, headers)
+        assert (response.status, json.loads(body)["outcome"]) == (200, "complete")
+        assert run.service.loop_service.answers == {}
+
+
+async def test_an_outcome_query_burns_an_unknown_key():
+    """Guards against a delayed request that starts after "not run" was told."""
+    async with serving(ok) as run:
+        headers = run.caller.key()
+        response, body = await outcome(run, headers)
+        assert (response.status, response.headers["Knapweed-Outcome"]) == (200, "not-run")
+        response, body = await run.send("POST", headers=headers)
+        assert json.loads(body)["code"] == 108
+        response, body = await outcome(run, run.caller.key(incarnation="other"))
+        assert (response.status, json.loads(body)["outcome"]) == (409, "unknown")
+    assert run.server.heads == []
+
+
+BAD_REQUESTS = [
+    ({"Knapweed-Deadline-Ms": "soon"}, "GET", "/x", 101),
+    ({"Knapweed-Deadline-Ms": "nan"}, "GET", "/x", 101),
+    ({"Knapweed-Deadline-Ms": "0"}, "GET", "/x", 104),
+    ({"Host": "other.test"}, "GET", "/x", 102),
+    ({"Host": ""}, "GET", "/x", 101),
+    ({}, "PATCH", "/x", 103),
+    ({}, "POST", "/x", 105),
+    ({}, "GET", "//x", 101),
+    ({}, "GET", "/a/%2e%2e/b", 101),
+    ({"X": "v" * 17_000}, "GET", "/x", 115),
+    ({f"X-{n}": "v" * 900 for n in range(20)}, "GET", "/x", 115),
+    ({}, "GET", "/knapweed/v1/other", 103),
+]
+
+
+@pytest.mark.parametrize(("headers", "method", "path", "code"), BAD_REQUESTS)
+async def test_bad_input_is_a_numbered_json_error(headers, method, path, code):
+    """Guards against plain-text errors and against errors that claim work was run."""
+    async with serving(ok) as run:
+        response, body = await run.send(method, path, headers=headers)
+        error = json.loads(body)
+        assert (error["code"], error["outcome"]) == (code, "not-run")
+        assert response.headers["Knapweed-Result"] == str(code)
+    assert run.server.heads == []
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"\x16\x03\x01 hello\r\n\r\n",
+        b"GET /x HTTP/1.1\r\nbroken\r\n\r\n",
+        b"OPTIONS * HTTP/1.1\r\nHost: ledger.test\r\n\r\n",
+        b"GET http://ledger.test/x HTTP/1.1\r\nHost: ledger.test\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: ledger.test\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
+async def test_malformed_requests_are_numbered(content):
+    """Guards against the HTTP library's own error page."""
+    async with serving(ok) as run:
+        host, port = run.service.ports.public.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(content)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 400 ") or head.startswith(b"HTTP/1.0 400 ")
+        assert b"Knapweed-Result: 101\r\n" in head
+        writer.close()
+
+
+async def test_bodies_are_bounded_with_and_without_a_length():
+    """Guards against a body that fills the memory."""
+
+    async def chunks():
+        for _ in range(50):
+            yield b"x" * 100
+
+    async with serving(ok, body_limit=1000) as run:
+        for name, data in (("k0", b"x" * 1001), ("k1", chunks())):
+            response, body = await run.send("POST", headers=run.caller.key(name), data=data)
+            assert (response.status, json.loads(body)["code"]) == (413, 114)
+        assert (await run.send("POST", headers=run.caller.key("k2"), data=b"x" * 1000))[0].ok
+
+
+async def test_a_body_that_stalls_is_given_up():
+    """Guards against a connection that is held by a body that never ends."""
+    async with serving(ok, body_timeout_s=0.05) as run:
+        host, port = run.service.ports.public.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = b"POST /x HTTP/1.1\r\nHost: ledger.test\r\nContent-Length: 5\r\n"
+        writer.write(head + b"Expect: 100-continue\r\n\r\n")
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert b"Knapweed-Result: 104\r\n" in await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+
+async def test_an_early_refusal_of_a_key_that_ran_does_not_say_not_run():
+    """Guards against "not run" for a key whose first try was run."""
+    async with serving(counting()) as run:
+        headers = run.caller.key()
+        assert (await run.send("POST", headers=headers))[0].status == 200
+        headers["Knapweed-Deadline-Ms"] = "soon"
+        response, body = await run.send("POST", headers=headers)
+        assert (response.headers["Knapweed-Outcome"], body) == ("complete", b"run 1")
+
+
+async def test_a_full_process_refuses_at_once():
+    """Guards against unbounded numbers of requests in the process."""
+    release = asyncio.Event()
+
+    async def script(number, head, body, writer):
+        await release.wait()
+        writer.write(answer())
+        return True
+
+    async with serving(script, request_limit=1) as run:
+        first = asyncio.ensure_future(run.send("GET"))
+        await until(lambda: run.server.heads)
+        response, body = await run.send("GET")
+        assert (response.status, json.loads(body)["code"]) == (503, 111)
+        assert response.headers["Knapweed-Retry-After-Ms"] == "1000"
+        release.set()
+        assert (await first)[0].status == 200
+
+
+async def test_ready_and_requests_before_the_first_configuration():
+    """Guards against claims of readiness without a configuration."""
+    async with serving(ok) as run:
+        response, body = await run.send("GET", "/knapweed/v1/ready")
+        assert json.loads(body)["incarnation"] == run.service.incarnation
+    async with entry(wait=False) as service, Caller(service) as caller:
+        for path in ("/knapweed/v1/ready", "/x"):
+            response, body = await Serving([], service, caller).send("GET", path)
+            assert (response.status, json.loads(body)["code"]) == (503, 119)
--- /dev/null
+++ b/tests/entry/test_stopping.py
@@ -0,0 +1,55 @@
+import asyncio
+import json
+from dataclasses import replace
+
+from knapweeddock.model import LookupPolicy
+from knapweeddock.state import MemberState
+from tests.entry.support import answer, config_of, feed, serving, until
+
+
+async def test_a_planned_stop_interrupts_no_request(monkeypatch):
+    """Guards against a stop that refuses callers who were told to come here."""
+    monkeypatch.setattr("knapweeddock.entry.service.LOOKUP_MARGIN_S", 0.3)
+    release = asyncio.Event()
+
+    async def script(number, head, body, writer):
+        if "/slow" in head:
+            await release.wait()
+        writer.write(answer(b"done"))
+        return True
+
+    async with serving(script) as run:
+        service = run.service
+        config = replace(config_of([run.server.address]), lookup=LookupPolicy(lifetime_ms=1))
+        feed(service, config, version=2)
+        await until(lambda: service.loop_service.node_state.config_version == 2)
+        slow = asyncio.ensure_future(run.send("POST", "/slow", headers=run.caller.key()))
+        await until(lambda: service.sender.attempts)
+        drain = asyncio.ensure_future(service.drain())
+        await until(lambda: service.handling.member_state is MemberState.LEAVING)
+        # The entry is no longer named by look-ups but goes on taking requests.
+        assert (await run.send("GET", "/x"))[0].status == 200
+        response, body = await run.send("GET", "/knapweed/v1/ready")
+        assert (response.status, json.loads(body)["code"]) == (503, 113)
+        await until(lambda: service.handling.closing)
+        response, body = await run.send("GET", "/x")
+        assert (response.status, json.loads(body)["code"]) == (503, 113)
+        assert response.headers["Connection"] == "close"
+        assert not drain.done()
+        release.set()
+        assert (await slow)[1] == b"done"
+        await drain
+        assert service.link.member_state is MemberState.LEFT
+
+
+async def test_the_wait_for_running_requests_is_bounded():
+    """Guards against a stop that hangs on a request that never ends."""
+
+    async def script(number, head, body, writer):
+        await asyncio.Event().wait()
+
+    async with serving(script, deadline_ms=60_000, stop_limit_s=0.05) as run:
+        call = asyncio.ensure_future(run.send("GET"))
+        await until(lambda: run.service.sender.attempts)
+        await run.service.finish_running()
+        call.cancel()
