Bound late starts, waiting connections and bad addresses

A keyed request could be written after its not-after time when the process was paused between the dispatcher's decision and the send, or while it connected; the client now refuses to send it, and counts the connect time against not-after. A server address with a port out of range was reported as a lost connection and hence as an unknown outcome, although nothing was sent. aiohttp bounds the wait for the headers of later requests on a connection but not of the first one, nor the number of connections.

--- a/knapweeddock/entry/__main__.py
+++ b/knapweeddock/entry/__main__.py
@@ -59,6 +59,8 @@
     reasons = [name for name, task in waits.items() if task.done()]
     for task in waits.values():
         task.cancel()
+    # The crash is reported below; gathering keeps its exception from being lost.
+    await asyncio.gather(*waits.values(), return_exceptions=True)
     log.info("stopping", reasons=reasons)
     status = 0
     if service.crashed:
--- a/knapweeddock/entry/entrymetrics.py
+++ b/knapweeddock/entry/entrymetrics.py
@@ -10,7 +10,7 @@
     """The collectors of one entry process."""
 
     def __init__(self, *, vm: VmId) -> None:
-        self.process = ProcessMetrics(process="entry", vm=vm)
+        self.process = ProcessMetrics(process="knapweed-entry", vm=vm)
         self.requests = self.process.counter(
             "knapweed_requests_total", "Answered requests by port and result code."
         )
--- a/knapweeddock/entry/httpclient.py
+++ b/knapweeddock/entry/httpclient.py
@@ -55,6 +55,7 @@
         headers: Headers to send.
         body: The body.
         timeout_s: When the call is given up.
+        start_within_s: Time after which the request must not be sent any more.
         idempotent: Whether a pooled connection may be used.
         streaming: Whether the answer may be passed on before it is complete.
     """
@@ -65,6 +66,7 @@
     headers: CIMultiDict[str]
     body: bytes
     timeout_s: float
+    start_within_s: float
     idempotent: bool
     streaming: bool
 
@@ -194,12 +196,21 @@
     async def _exchange(
         self, session: aiohttp.ClientSession, call: Call, commit: Commit
     ) -> CallResult:
-        connect_s = min(self.connect_timeout_s, call.timeout_s - CONNECT_MARGIN_S)
+        connect_s = min(
+            self.connect_timeout_s, call.timeout_s - CONNECT_MARGIN_S, call.start_within_s
+        )
         if connect_s <= 0:
             return CallResult(outcome=AttemptOutcome.REFUSED)
+        try:
+            url = URL(f"http://{call.address}{call.target}", encoded=True)
+            # The address is parsed on the first use of a part of it.
+            _ = url.port
+        except ValueError as error:
+            log.error("address is not valid", address=call.address, error=str(error))
+            return CallResult(outcome=AttemptOutcome.REFUSED)
         response = await session.request(
             call.method,
-            URL(f"http://{call.address}{call.target}", encoded=True),
+            url,
             headers=call.headers,
             data=call.body or None,
             allow_redirects=False,
--- a/knapweeddock/entry/httpserver.py
+++ b/knapweeddock/entry/httpserver.py
@@ -27,6 +27,12 @@
 SHUTDOWN_S = 1.0
 """Longest time for handlers to end when the server stops."""
 
+FIRST_HEAD_S = 10.0
+"""Longest time from a connection to the end of its first request's headers."""
+
+MAX_CONNECTIONS = 8192
+"""Connections per port; more are closed at once."""
+
 MAX_HEADERS = 128
 BACKLOG = 1024
 
@@ -34,7 +40,21 @@
 class JsonErrorHandler(RequestHandler):
     """Answers requests that cannot be parsed with a numbered JSON error."""
 
-    __slots__ = ()
+    __slots__ = ("first_head_timer",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the wait for the first request; aiohttp bounds the later ones."""
+        super().connection_made(transport)
+        self.first_head_timer = self._loop.call_later(FIRST_HEAD_S, self._close_unused)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timer."""
+        self.first_head_timer.cancel()
+        super().connection_lost(exc)
+
+    def _close_unused(self) -> None:
+        if self._request_count == 0:
+            self.force_close()
 
     def handle_error(
         self,
@@ -62,7 +82,13 @@
 
 
 class BoundedServer(web.Server):
-    """Creates a ``JsonErrorHandler`` for each connection."""
+    """Creates a ``JsonErrorHandler`` for each connection, up to a limit."""
+
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        """Register a connection, or close it when there are too many."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > MAX_CONNECTIONS:
+            transport.abort()
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
--- a/knapweeddock/entry/lending.py
+++ b/knapweeddock/entry/lending.py
@@ -27,8 +27,16 @@
 STOPPING_RETRY_S = 5.0
 """Time for which a borrower leaves a lender alone that is stopping."""
 
-CALL_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError, TimeoutError)
-"""Errors after which a channel to a peer is replaced."""
+CALL_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    OverflowError,
+)
+"""Errors after which a channel to a peer is replaced; ``OverflowError`` is raised
+for a port number that is out of range."""
 
 
 class LendingServer(Service, LendingBase):
@@ -86,6 +94,9 @@
         channel = self.channels.get(address)
         if channel is None:
             host, _, port = address.rpartition(":")
+            if not port.isdecimal():
+                log.error("address is not valid", lender=action.lender.vm, address=address)
+                return None
             channel = self.channels[address] = Channel(host.strip("[]"), int(port))
         try:
             async with asyncio.timeout(self.timeout_s):
--- a/knapweeddock/entry/sending.py
+++ b/knapweeddock/entry/sending.py
@@ -1,6 +1,7 @@
 """Carries out the dispatcher's sends and calls to lenders, one task for each."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 
 import structlog
@@ -126,10 +127,20 @@
             headers=headers,
             body=incoming.body,
             timeout_s=remaining_s,
+            start_within_s=self._start_within_s(incoming),
             idempotent=action.idempotent,
             streaming=action.streaming,
         )
 
+    def _start_within_s(self, incoming: IncomingRequest) -> float:
+        """Return how long a keyed request may still be started.
+
+        The dispatcher checked this too, but the process may have been paused
+        since, and connecting takes time.
+        """
+        key = incoming.arrival.key
+        return math.inf if key is None else key.not_after - self.clock.wall()
+
     def _report_draining(self, action: SendToServer) -> None:
         report = ServerReport(
             server=action.slot.server,
--- a/knapweeddock/metrics.py
+++ b/knapweeddock/metrics.py
@@ -3,6 +3,8 @@
 from aiohttp import hdrs, web
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+METRICS_PATH = "/metrics"
+
 SECONDS_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
 """Upper bounds of the histograms of durations, in seconds."""
 
@@ -38,5 +40,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer a request for ``/metrics``."""
+        if request.path != METRICS_PATH:
+            return web.Response(status=404, text=f"Only {METRICS_PATH} is served here.\n")
         content, headers = render(self.registry, request.headers.getall(hdrs.ACCEPT, []))
         return web.Response(body=content, headers=headers)
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -188,3 +189,18 @@
         for path in ("/knapweed/v1/ready", "/x"):
             response, body = await Serving([], service, caller).send("GET", path)
             assert (response.status, json.loads(body)["code"]) == (503, 119)
+
+
+async def test_connections_without_a_request_are_bounded(monkeypatch):
+    """Guards against connections that send half a request and stay, and floods of them."""
+    monkeypatch.setattr("knapweeddock.entry.httpserver.FIRST_HEAD_S", 0.05)
+    monkeypatch.setattr("knapweeddock.entry.httpserver.MAX_CONNECTIONS", 2)
+    async with serving(ok) as run:
+        host, port = run.service.ports.public.address.split(":")
+        connections = [await asyncio.open_connection(host, int(port)) for _ in range(3)]
+        for reader, writer in connections:
+            writer.write(b"GET /x HTTP/1.1\r\nHost:")
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            writer.close()
+        assert (await run.send("GET"))[0].status == 200
