Test the dispatch loop's handling of faults and pauses

The loop must answer each request once, whatever the dispatcher raises, and must let terms lapse before it takes in work that waited during a pause.

--- a/knapweeddock/entry/httpserver.py
+++ b/knapweeddock/entry/httpserver.py
@@ -64,8 +64,8 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the error and close the connection afterwards."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("an answer was begun; no error can follow it")
+        if request.writer.output_size > 0 or isinstance(exc, ConnectionError):
+            raise ConnectionError("an answer was begun or the caller is gone") from exc
         if status >= 500:
             log.error("request handler failed", exc_info=exc)
             answer = CodeAnswer(
--- /dev/null
+++ b/tests/entry/test_dispatchloop.py
@@ -0,0 +1,162 @@
+import asyncio
+
+import pytest
+from multidict import CIMultiDict
+from opentelemetry.context import Context
+
+from knapweeddock.clock import ManualClock
+from knapweeddock.codes import ResultCode
+from knapweeddock.entry.dispatchloop import AttemptResult, Carrier, DispatchLoop
+from knapweeddock.entry.entrymetrics import EntryMetrics
+from knapweeddock.entry.messages import BufferedAnswer, CallResult, IncomingRequest
+from knapweeddock.events import (
+    Arrival,
+    AttemptEnded,
+    AttemptOutcome,
+    Deliver,
+    GrantUse,
+    Reply,
+    SendToServer,
+    Tick,
+)
+from knapweeddock.grants import Slot
+from knapweeddock.memorycapacity import MemoryCapacity
+
+SLOT = Slot(site="s", server="a", index=0, rank=0, address="127.0.0.1:1")
+SEND = SendToServer(
+    request="1", attempt="t", slot=SLOT, deadline=2000.0, idempotent=False, streaming=False
+)
+
+
+class Script:
+    """A dispatcher that answers each kind of event with given actions or a fault."""
+
+    def __init__(self, **answers):
+        self.answers = answers
+        self.seen = []
+        self.capacity = MemoryCapacity(incarnation="i", slots={})
+
+    def handle(self, event, now):
+        name = type(event).__name__
+        self.seen.append(name)
+        result = self.answers.get(name, [])
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+class Recorder(Carrier):
+    def __init__(self, fault=None):
+        self.sent = []
+        self.fault = fault
+
+    def send(self, action, incoming):
+        self.sent.append(action)
+        if self.fault:
+            raise self.fault
+
+    def cancel(self, attempt):
+        self.sent.append(attempt)
+
+    def borrow(self, action):
+        self.sent.append(action)
+
+
+def loop_of(script, **options):
+    clock = ManualClock()
+    loop = DispatchLoop(dispatcher=script, clock=clock, metrics=EntryMetrics(vm="vm1"))
+    loop.carrier = Recorder(**options)
+    return loop
+
+
+def submit(loop, grant=None):
+    arrival = Arrival(request="1", host="h", method="POST", path="/", grant=grant)
+    incoming = IncomingRequest(
+        arrival=arrival,
+        method="POST",
+        target="/",
+        headers=CIMultiDict(),
+        body=b"",
+        context=Context(),
+    )
+    pending = loop.submit(incoming)
+    drain(loop)
+    return pending
+
+
+def drain(loop):
+    while not loop.queue.empty():
+        loop.take(loop.queue.get_nowait())
+
+
+def answered(body=b"x"):
+    answer = BufferedAnswer(status=200, reason=None, headers=CIMultiDict(), body=body)
+    return CallResult(outcome=AttemptOutcome.ANSWERED, answer=answer)
+
+
+async def test_a_fault_on_an_arrival_is_answered_and_does_not_stop_the_loop():
+    """Guards against one request that takes the whole entry down."""
+    script = Script(Arrival=RuntimeError("bug"))
+    loop = loop_of(script)
+    pending = submit(loop)
+    assert pending.answer.result().code is ResultCode.NOT_READY
+    script.answers["Arrival"] = [Reply(request="1", code=ResultCode.SHED)]
+    assert submit(loop).answer.result().code is ResultCode.SHED
+
+
+@pytest.mark.parametrize("fault", [RuntimeError("bug"), [Deliver(request="1", attempt="lost")]])
+async def test_a_fault_after_the_send_is_an_unknown_outcome(fault):
+    """Guards against a caller that waits for ever, or is told "not run"."""
+    loop = loop_of(Script(Arrival=[SEND], AttemptEnded=fault))
+    pending = submit(loop)
+    loop.attempt_ended("t", answered())
+    drain(loop)
+    assert pending.answer.result().code in (ResultCode.SERVER_LOST, ResultCode.ANSWER_NOT_KEPT)
+    assert loop.pending == {}
+
+
+async def test_a_send_that_cannot_be_started_ends_the_attempt():
+    """Guards against a slot that is held for ever."""
+    script = Script(Arrival=[SEND])
+    loop = loop_of(script, fault=RuntimeError("bug"))
+    submit(loop)
+    assert script.seen == ["Arrival", "AttemptEnded"]
+
+
+async def test_only_one_answer_is_written():
+    """Guards against two answers on one connection."""
+    loop = loop_of(Script(Arrival=[Reply(request="1", code=code) for code in (117, 118)]))
+    pending = submit(loop)
+    assert pending.answer.result().code == 117
+
+
+async def test_answers_without_a_key_are_dropped_after_delivery():
+    """Guards against answers that stay in memory, and ends of unknown attempts."""
+    script = Script(Arrival=[SEND], AttemptEnded=[Deliver(request="1", attempt="t")])
+    for grant, kept in ((None, 1), (GrantUse(grant="g", incarnation="i", site="s"), 0)):
+        loop = loop_of(script)
+        pending = submit(loop, grant)
+        loop.attempt_ended("t", answered())
+        loop.attempt_ended("t", answered())
+        drain(loop)
+        assert pending.answer.result().body == b"x"
+        assert len(loop.answers) == kept
+    assert script.seen.count(AttemptEnded.__name__) == 2
+
+
+async def test_terms_lapse_before_work_after_a_pause():
+    """Guards against the use of slots whose term ended while the process was paused."""
+    script = Script()
+    loop = loop_of(script)
+    submit(loop)
+    loop.clock.advance(10.0)
+    submit(loop)
+    assert script.seen == ["Arrival", Tick.__name__, "Arrival"]
+
+
+async def test_late_ends_of_attempts_are_ignored():
+    """Guards against an answer that is kept for an attempt that was cancelled."""
+    loop = loop_of(Script())
+    loop.take(AttemptResult(attempt="other", result=answered()))
+    await asyncio.sleep(0)
+    assert loop.answers == {}
--- a/tests/entry/test_proxy.py
+++ b/tests/entry/test_proxy.py
@@ -57,6 +57,7 @@
         return True
 
     sent = {"Connection": "X-Gone", "X-Gone": "1", "Backend-Deadline-Ms": "9", "X-Kept": "\xe4"}
+    sent["Traceparent"] = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
     async with serving(script) as run:
         headers = {**sent, **run.caller.key()}
         response, body = await run.send("PUT", "/a%20b?x=1", headers=headers, data=b"in")
@@ -73,6 +74,7 @@
     assert "Host: ledger.test" in head
     assert "X-Kept: \xe4" in head
     assert "X-Gone" not in head
+    assert head.lower().count("traceparent: 00-0af7651916cd43dd8448eb211c80319c-") == 1
     assert "Knapweed-" not in head
     assert head.count("Backend-Deadline-Ms") == 1
     assert "Backend-Deadline-Ms: 9\r" not in head
