--- a/knapweeddock/admission.py
+++ b/knapweeddock/admission.py
@@ -95,14 +95,17 @@
             start_by=deadline,
             grant=arrival.grant,
         )
-        if arrival.key is None or arrival.grant or classified.request_class.idempotent:
+        if arrival.key is None or classified.request_class.idempotent:
             return work
-        work.key = arrival.key
+        if arrival.grant is None:
+            work.key = arrival.key
         not_after = now + self.keys.remaining_s(arrival.key)
         if not_after < deadline:
             work.start_by = not_after
             work.late_code = ResultCode.KEY_EXPIRED
-        return work
+        # The table refuses expired keys of own callers. A request under a grant
+        # may have waited on its way here until its key expired.
+        return work if work.start_by > now else ResultCode.KEY_EXPIRED
 
 
 def _is_idempotent(classified: Classified | ResultCode) -> bool:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -225,6 +225,8 @@
     assert codes(rig.arrive(grant=use)) == [("r2", ResultCode.SHED)]
     stale = GrantUse(grant="g", incarnation="older", site="lent")
     assert codes(rig.arrive(grant=stale)) == [("r3", ResultCode.GRANT_LAPSED)]
+    expired = rig.book(key=rig.key(own="borrower", life=0), grant=use)
+    assert codes(expired) == [("r4", ResultCode.KEY_EXPIRED)]
     rig.handle(CallerGone(request="r1"))
     assert rig.capacity.held_count == 1
     assert rig.end(send.attempt) == [ForgetAnswer(attempt=send.attempt)]
