--- a/tests/test_capacity_fuzz.py
+++ b/tests/test_capacity_fuzz.py
@@ -184,7 +184,12 @@
                 entry.known = {vm: len(history) - 1 for vm, history in self.records.items()}
                 self.deliver(entry)
 
-    @rule(vm=VMS, others=st.sets(VMS, max_size=4), config=st.booleans(), back=st.integers(0, 2))
+    @rule(
+        vm=VMS,
+        others=st.sets(VMS, max_size=5),
+        config=st.one_of(st.none(), st.integers(0, 2)),
+        back=st.integers(0, 2),
+    )
     def hear(self, vm, others, config, back):
         entry = self.running(vm)
         if entry is None:
@@ -193,8 +198,8 @@
         for other in others:
             newest = max(0, len(self.records[other]) - 1 - back)
             entry.known[other] = max(entry.known.get(other, 0), newest)
-        if config:
-            entry.config = max(entry.config, len(self.configs) - 1 - back)
+        if config is not None:
+            entry.config = max(entry.config, len(self.configs) - 1 - config)
         self.deliver(entry)
 
     @rule(vm=VMS)
@@ -290,6 +295,27 @@
                 return
         self.configs.append(replace(config, sites={**config.sites, site: new}))
 
+    @rule(site=st.sampled_from(sorted(SERVERS)), value=st.integers(0, 2))
+    def flap(self, site, value):
+        """Remove a server and add it again, so that an earlier view recurs."""
+        config = self.configs[-1]
+        servers = dict(config.sites[site].servers)
+        if len(servers) > 1:
+            servers.pop(sorted(servers)[value % len(servers)])
+            new = replace(config.sites[site], servers=servers)
+            self.configs.append(replace(config, sites={**config.sites, site: new}))
+            self.configs.append(config)
+
+    @rule(vm=VMS, rounds=st.integers(1, 3), dt=PAUSES)
+    def fail_over(self, vm, rounds, dt):
+        """Kill an entry that has work and let the others learn of it."""
+        self.contend()
+        self.kill(vm)
+        self.find_gone(vm)
+        self.advance(dt)
+        self.exchange(rounds)
+        self.contend()
+
     # Work.
 
     @rule(vm=VMS, count=st.integers(1, 4))
@@ -386,10 +412,36 @@
         self.reply(newest=True)
         for step in (dt / 2, dt / 2):
             self.advance(step)
-        for other in sorted(self.entries):
-            self.acquire(other, 4)
+        self.contend()
         self.use_loans(vm, 3)
 
+    @rule()
+    def contend(self):
+        """Let every entry take all that it can."""
+        for vm in sorted(self.entries):
+            self.acquire(vm, 4)
+
+    @rule(vm=VMS, site=st.sampled_from(sorted(SERVERS)), use=st.integers(0, 4))
+    def shift(self, vm, site, use):
+        """Borrow from every lender of a site at once and use some of it."""
+        entry = self.running(vm)
+        lenders = entry.capacity.lenders("p", entry.now(self.time)) if entry else []
+        for pick, lender in enumerate(lenders):
+            if lender.site == site:
+                self.requests.clear()
+                self.ask(vm, pick, 3)
+                self.decide(lost=False)
+                self.reply(newest=True)
+        self.use_loans(vm, use)
+
+    @rule()
+    def finish_all(self):
+        """End all work, so that recent demand and full sites do not stop lending."""
+        for _ in range(len(self.uses)):
+            self.finish(0, Outcome.ANSWERED)
+        for _ in range(4):
+            self.advance(1.0)
+
     # The oracle.
 
     def limit(self, uses, of):
@@ -434,7 +486,7 @@
 
 CapacityMachine.TestCase.settings = settings(
     derandomize=True,
-    max_examples=60,
+    max_examples=250,
     stateful_step_count=50,
     deadline=None,
     database=None,
