Add tests of the capacity parts; choose in two passes

choose() split servers and compared tuples for each candidate; it now separates set-aside servers first and compares loads as plain numbers. A busy healthy server no longer makes a set-aside one eligible.

--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -1,12 +1,15 @@
 """Choice of a server among the free slots of a site."""
 
 from collections.abc import Collection, Mapping, Sequence
+from math import inf
 
 from knapweeddock.grants import Slot
-from knapweeddock.health import ServerRecord
+from knapweeddock.health import ALL_SLOTS, REPORT_LIFE_S, ServerRecord
 from knapweeddock.ids import ServerId
 from knapweeddock.slots import SlotKey, key_of
 
+Candidate = tuple[ServerId, Sequence[Slot], ServerRecord]
+
 
 def choose(
     free: Mapping[ServerId, Sequence[Slot]],
@@ -34,34 +37,76 @@
         within: Slots to choose from; all when None.
         lowest: Whether to prefer low ranks (remote work) to high ones.
     """
+    healthy, aside = _split(free, records, now)
+    if not healthy:
+        return _last_resort(aside, now, exclude, within, lowest)
     best: Slot | None = None
-    best_order = (True, 0.0, 0)
-    any_healthy = False
-    for server, slots in free.items():
-        record = records.get(server)
-        if record is None or record.listed_leaving or record.left_at is not None:
-            continue
-        aside = record.retry_at is not None and record.is_set_aside(now)
-        any_healthy = any_healthy or not aside
+    best_load = inf
+    end = 0 if lowest else -1
+    for server, slots, record in healthy:
         if not slots or server in exclude:
             continue
-        slot = _pick(slots, record.open_slots(now), within, lowest)
-        if slot is None:
+        load = in_flight.get(server, 0)
+        if record.in_flight:
+            reported = record.in_flight * (1.0 - (now - record.measured_at) / REPORT_LIFE_S)
+            load = reported if reported > load else load
+        if load > best_load:
             continue
-        load = max(in_flight.get(server, 0), record.reported_load(now))
-        order = (aside, load, slot.rank if lowest else -slot.rank)
-        if best is None or order < best_order:
+        if within is None and record.opened == ALL_SLOTS:
+            slot = slots[end]
+        else:
+            slot = _pick(slots, record, now, within, lowest)
+        if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
             best = slot
-            best_order = order
-    if best is not None and best_order[0] and any_healthy:
-        return None
+            best_load = load
     return best
 
 
+def _split(
+    free: Mapping[ServerId, Sequence[Slot]],
+    records: Mapping[ServerId, ServerRecord],
+    now: float,
+) -> tuple[list[Candidate], list[Candidate]]:
+    """Return the servers that are fit for use and those that are set aside."""
+    healthy = []
+    aside = []
+    for server, slots in free.items():
+        record = records.get(server)
+        if record is None or record.leaving:
+            continue
+        if record.retry_at is not None and record.is_set_aside(now):
+            aside.append((server, slots, record))
+        else:
+            healthy.append((server, slots, record))
+    return healthy, aside
+
+
 def _pick(
-    slots: Sequence[Slot], opened: int, within: Collection[SlotKey] | None, lowest: bool
+    slots: Sequence[Slot],
+    record: ServerRecord,
+    now: float,
+    within: Collection[SlotKey] | None,
+    lowest: bool,
 ) -> Slot | None:
+    """Return the lowest or highest of the slots of one server that may be used."""
+    opened = record.open_slots(now)
     for slot in slots if lowest else reversed(slots):
         if slot.index < opened and (within is None or key_of(slot) in within):
             return slot
     return None
+
+
+def _last_resort(
+    aside: Sequence[Candidate],
+    now: float,
+    exclude: Collection[ServerId],
+    within: Collection[SlotKey] | None,
+    lowest: bool,
+) -> Slot | None:
+    """Return a slot of the server whose trial is due first."""
+    for server, slots, record in sorted(aside, key=lambda entry: (entry[2].retry_at, entry[0])):
+        if server not in exclude:
+            slot = _pick(slots, record, now, within, lowest)
+            if slot is not None:
+                return slot
+    return None
--- a/knapweeddock/health.py
+++ b/knapweeddock/health.py
@@ -23,6 +23,8 @@
 """Age at which a reported load has lost its weight."""
 
 ALL_SLOTS = 1 << 30
+WARM_AT = 64
+"""Open slots at which a server counts as fully open."""
 
 
 class ServerRecord:
@@ -36,6 +38,7 @@
         trial: Whether the trial request is running.
         left_at: Last sign from the server itself that it is leaving.
         listed_leaving: Whether configuration or VM list name it as leaving.
+        leaving: Whether any sign says that the server is leaving.
         in_flight: Requests that it reported.
         measured_at: Time of that report.
     """
@@ -44,6 +47,7 @@
         "backoff",
         "failures",
         "in_flight",
+        "leaving",
         "left_at",
         "listed_leaving",
         "measured_at",
@@ -63,14 +67,16 @@
         self.trial = False
         self.left_at: float | None = None
         self.listed_leaving = False
+        self.leaving = False
         self.in_flight = 0
         self.measured_at = float("-inf")
         self.seen = False
 
-    @property
-    def leaving(self) -> bool:
-        """Whether any sign says that the server is leaving."""
-        return self.listed_leaving or self.left_at is not None
+    def set_leaving(self, *, listed: bool, left_at: float | None) -> None:
+        """Take the signs that the server is leaving."""
+        self.listed_leaving = listed
+        self.left_at = left_at
+        self.leaving = listed or left_at is not None
 
     def open_slots(self, now: float) -> int:
         """Return the number of open slots, opening those that are due."""
@@ -80,17 +86,15 @@
         steps = int((now - due) / WARMUP_STEP_S) + 1
         self.opened += steps
         self.next_open_at = due + steps * WARMUP_STEP_S
+        if self.opened >= WARM_AT:
+            self.opened = ALL_SLOTS
+            self.next_open_at = None
         return self.opened
 
     def is_set_aside(self, now: float) -> bool:
         """Whether the server gets no request now because it failed."""
         return self.retry_at is not None and (self.trial or now < self.retry_at)
 
-    def reported_load(self, now: float) -> float:
-        """Return the reported requests, discounted by the age of the report."""
-        weight = 1.0 - (now - self.measured_at) / REPORT_LIFE_S
-        return self.in_flight * weight if weight > 0 else 0.0
-
     def warm_from(self, now: float) -> None:
         """Start again with one slot, then one more every step."""
         self.opened = 1
@@ -117,7 +121,7 @@
         for name in self.records.keys() - names:
             del self.records[name]
         for name, record in self.records.items():
-            record.listed_leaving = name in leaving
+            record.set_leaving(listed=name in leaving, left_at=record.left_at)
 
     def observe(self, report: ServerReport, now: float) -> None:
         """Take a measurement; one that is older than the last is ignored."""
@@ -135,7 +139,7 @@
                 record.opened = 1
                 record.next_open_at = None
             case ServerHealth.DRAINING:
-                record.left_at = now
+                record.set_leaving(listed=record.listed_leaving, left_at=now)
             case ServerHealth.UNREACHABLE:
                 self._failed(record, now)
 
@@ -143,7 +147,7 @@
         if record.left_at is not None:
             if now - record.left_at < LEAVING_HOLD_S:
                 return
-            record.left_at = None
+            record.set_leaving(listed=record.listed_leaving, left_at=None)
             record.warm_from(now)
         elif not record.seen and now - self.started_at <= STARTUP_TERM_S:
             record.opened = ALL_SLOTS
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,75 @@
+"""Choice of a server: guards against unfit servers and against uneven use."""
+
+from knapweeddock.choice import choose
+from knapweeddock.grants import Slot
+from knapweeddock.health import ALL_SLOTS, ServerRecord
+from knapweeddock.slots import key_of
+
+
+def make_slot(server, index, rank):
+    return Slot(site="x", server=server, index=index, rank=rank, address=server)
+
+
+FREE = {
+    "a": [make_slot("a", 0, 0), make_slot("a", 1, 2)],
+    "b": [make_slot("b", 0, 1), make_slot("b", 1, 3)],
+}
+
+
+def make_records():
+    records = {name: ServerRecord() for name in FREE}
+    for record in records.values():
+        record.opened = ALL_SLOTS
+    return records
+
+
+def test_local_work_takes_the_highest_rank_and_remote_work_the_lowest():
+    records = make_records()
+    assert choose(FREE, records, {}, 0.0).rank == 3
+    assert choose(FREE, records, {}, 0.0, lowest=True).rank == 0
+
+
+def test_own_requests_count_first():
+    assert choose(FREE, make_records(), {"b": 1}, 0.0).server == "a"
+
+
+def test_reported_load_loses_its_weight_with_age():
+    """A stale report would keep work away from an idle server."""
+    records = make_records()
+    records["b"].in_flight = 3
+    records["b"].measured_at = 0.0
+    assert choose(FREE, records, {}, 1.0).server == "a"
+    assert choose(FREE, records, {}, 6.0).server == "b"
+
+
+def test_excluded_leaving_and_unknown_servers_are_not_used():
+    records = make_records()
+    assert choose(FREE, records, {}, 0.0, exclude={"b"}).server == "a"
+    records["a"].set_leaving(listed=True, left_at=None)
+    assert choose(FREE, records, {}, 0.0, exclude={"b"}) is None
+    del records["b"]
+    assert choose(FREE, records, {}, 0.0) is None
+
+
+def test_slots_beyond_the_open_ones_are_not_used():
+    records = make_records()
+    for record in records.values():
+        record.opened = 1
+    assert choose(FREE, records, {}, 0.0).rank == 1
+
+
+def test_slots_outside_the_allowed_set_are_not_used():
+    allowed = {key_of(FREE["a"][1])}
+    assert choose(FREE, make_records(), {}, 0.0, within=allowed).rank == 2
+    assert choose(FREE, make_records(), {}, 0.0, within=set()) is None
+
+
+def test_server_set_aside_is_used_only_when_all_are():
+    """A busy healthy server is no reason to send work to a failing one."""
+    records = make_records()
+    records["a"].retry_at = 50.0
+    busy = {"a": FREE["a"], "b": []}
+    assert choose(busy, records, {}, 1.0) is None
+    records["b"].retry_at = 40.0
+    assert choose(busy, records, {}, 1.0).server == "a"
+    assert choose(FREE, records, {}, 1.0).server == "b"
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,191 @@
+"""Handover: guards against a slot that its new owner uses too early."""
+
+from knapweeddock.handover import (
+    DomainMembers,
+    SettledReport,
+    SiteHandover,
+    Use,
+    decode_report,
+)
+from knapweeddock.model import BackendServer, Site
+from knapweeddock.slots import MemberRef, RankLimits, make_view, ranked_slots
+from knapweeddock.state import Member, MemberState
+
+NAMES = ("v1", "v2")
+SERVERS = {f"s{n}": BackendServer(address=f"h{n}") for n in range(4)}
+
+
+def make_site_view(servers=4, vms=NAMES, shift_cap=6):
+    chosen = dict(list(SERVERS.items())[:servers])
+    slots = ranked_slots("x", Site(pool="p", failure_domain="d", servers=chosen))
+    refs = [MemberRef(vm, f"i-{vm}", True) for vm in vms]
+    return make_view(slots, refs, RankLimits(shift_cap=shift_cap, regions={}))
+
+
+class Pair:
+    """Two entries whose reports reach the other one only when a test says so."""
+
+    def __init__(self):
+        self.handovers = {vm: SiteHandover(vm=vm) for vm in NAMES}
+        self.heard = {vm: {} for vm in NAMES}
+        self.epochs = dict.fromkeys(NAMES, 0)
+
+    def enter(self, vm, view):
+        self.epochs[vm] += 1
+        self.handovers[vm].enter(view, self.epochs[vm])
+
+    def settle(self, vm, uses=()):
+        self.handovers[vm].settle(uses, self.heard[vm])
+
+    def hear(self, vm, other):
+        self.heard[vm][other] = self.handovers[other].report
+
+    def advance(self, vm):
+        return self.handovers[vm].advance(self.heard[vm], True)
+
+    def converge(self, view):
+        for vm in NAMES:
+            self.enter(vm, view)
+        for _ in range(3):
+            for vm in NAMES:
+                self.settle(vm)
+            self.hear("v1", "v2")
+            self.hear("v2", "v1")
+        assert self.advance("v1") and self.advance("v2")
+
+
+def test_new_slots_wait_for_the_report_of_every_other_member():
+    pair = Pair()
+    view = make_site_view()
+    pair.enter("v1", view)
+    pair.settle("v1")
+    assert not pair.advance("v1")
+    assert pair.handovers["v1"].usable == set()
+    pair.converge(view)
+    assert pair.handovers["v1"].usable == view.owned_by("v1")
+
+
+def test_lost_slots_end_at_once_and_kept_ones_go_on():
+    pair = Pair()
+    pair.converge(make_site_view())
+    kept = pair.handovers["v1"].usable & make_site_view(vms=("v1", "v2", "v3")).owned_by("v1")
+    pair.enter("v1", make_site_view(vms=("v1", "v2", "v3")))
+    assert kept
+    assert pair.handovers["v1"].usable == kept
+
+
+def test_report_of_an_earlier_occurrence_of_a_view_does_not_count():
+    """v2 is one configuration behind: it has settled in the view that comes again.
+
+    v1 would take a slot on that report, and v2 would then go through the view
+    in between, where the slot is its own and v1 has reported to have settled.
+    """
+    pair = Pair()
+    first = make_site_view(servers=4)
+    between = make_site_view(servers=3)
+    pair.converge(first)
+    pair.enter("v1", between)
+    pair.settle("v1")
+    pair.enter("v1", first)
+    pair.settle("v1")
+    pair.hear("v1", "v2")
+    assert not pair.advance("v1")
+
+
+def test_use_that_the_view_does_not_allow_keeps_an_entry_from_settling():
+    pair = Pair()
+    view = make_site_view(shift_cap=1)
+    pair.enter("v1", view)
+    lost = next(iter(view.owned_by("v2")))
+    pair.settle("v1", [Use(lost, False, None)])
+    assert not pair.handovers["v1"].reported
+    own = max(view.owned_by("v1"), key=lambda key: view.slots[key].rank)
+    pair.settle("v1", [Use(own, True, "R")])
+    assert not pair.handovers["v1"].reported
+    pair.settle("v1", [Use(own, False, None)])
+    assert pair.handovers["v1"].reported
+
+
+def test_higher_limit_on_remote_use_waits_as_well():
+    """Ranks that move would let old and new remote use exceed the shift cap together."""
+    pair = Pair()
+    pair.converge(make_site_view(shift_cap=2))
+    before = set(pair.handovers["v1"].lendable.of("R"))
+    pair.enter("v1", make_site_view(shift_cap=12))
+    assert pair.handovers["v1"].lendable.of("R") == before
+    pair.converge(make_site_view(shift_cap=12))
+    assert pair.handovers["v1"].lendable.of("R") == make_site_view().owned_by("v1")
+
+
+def test_malformed_report_counts_as_none():
+    assert decode_report("abc").view == ""
+    assert decode_report(None).epoch == "0"
+    report = SettledReport("view", "3", "hash")
+    assert decode_report(report.encode()) == report
+
+
+def make_member(vm, incarnation="i1", state=MemberState.SERVING, **more):
+    return Member(
+        vm=vm,
+        failure_domain="d",
+        incarnation=incarnation,
+        state=state,
+        public_address=vm,
+        internal_address=vm,
+        lending_address=vm,
+        **more,
+    )
+
+
+def make_members(*found):
+    members = DomainMembers(vm="v1", incarnation="i1", failure_domain="d", now=0.0)
+    members.update({member.vm: member for member in found}, 100.0)
+    return members
+
+
+def test_down_mark_and_new_incarnation_start_the_takeover_delay_once():
+    members = make_members(make_member("v1"), make_member("v2"), make_member("v3"))
+    assert members.takeover_at < 100.0
+    members.update({"v2": make_member("v2", down=True)}, 200.0)
+    assert 202.0 < members.takeover_at < 202.1
+    members.update({"v2": make_member("v2", down=True)}, 300.0)
+    assert members.takeover_at < 202.1
+    members.update({"v3": make_member("v3", incarnation="i2")}, 400.0)
+    assert 402.0 < members.takeover_at < 402.1
+    assert members.current["v3"].incarnation == "i2"
+
+
+def test_gone_incarnation_does_not_come_back():
+    members = make_members(make_member("v1"), make_member("v2", down=True))
+    members.update({"v2": make_member("v2")}, 101.0)
+    assert "v2" not in members.current
+
+
+def test_suspected_or_missing_member_stays():
+    """Silence is not evidence: a restarted agent knows nobody for a while."""
+    members = make_members(make_member("v1"), make_member("v2"))
+    members.update({"v1": make_member("v1")}, 5000.0)
+    members.update({}, 9000.0)
+    assert set(members.current) == {"v1", "v2"}
+
+
+def test_record_that_peers_have_dropped_ends_after_the_drop_time():
+    """An entry without an agent misses the down mark and would wait for ever."""
+    members = make_members(make_member("v1"), make_member("v2"), make_member("v3"))
+    rest = {"v1": make_member("v1"), "v3": make_member("v3")}
+    members.update(rest, 200.0)
+    members.update(rest, 799.0)
+    assert "v2" in members.current
+    members.update(rest, 801.0)
+    assert "v2" not in members.current
+    assert members.takeover_at > 803.0
+
+
+def test_own_incarnation_marked_down_or_replaced_is_noticed():
+    members = make_members(make_member("v1", down=True))
+    assert members.own_down
+    members = make_members(make_member("v1", incarnation="older"))
+    assert not members.own_down
+    members.update({"v1": make_member("v1")}, 101.0)
+    members.update({"v1": make_member("v1", incarnation="newer")}, 102.0)
+    assert members.own_down
--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,42 @@
+"""Rendezvous hashing: guards against owners that differ or move without need."""
+
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweeddock.rendezvous import assign_bounded, weighted_order
+
+KEYS = [f"key-{number}" for number in range(600)]
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(keys=st.integers(0, 60), nodes=st.sets(st.sampled_from("abcdefgh"), min_size=1))
+def test_no_node_gets_more_than_its_bound(keys, nodes):
+    counts = Counter(assign_bounded(KEYS[:keys], nodes))
+    assert sum(counts.values()) == keys
+    assert max(counts.values(), default=0) <= -(-keys // len(nodes))
+
+
+def test_order_of_nodes_does_not_matter():
+    """VMs learn of members in different orders and must find the same owners."""
+    assert assign_bounded(KEYS, ["c", "a", "b"]) == assign_bounded(KEYS, ["a", "b", "c"])
+
+
+def test_most_keys_stay_when_a_node_leaves():
+    """A full reshuffle would stop most slots of a site for a handover."""
+    nodes = [f"vm-{number}" for number in range(12)]
+    before = assign_bounded(KEYS, nodes)
+    after = assign_bounded(KEYS, nodes[:-1])
+    moved = sum(1 for old, new in zip(before, after, strict=True) if old != new)
+    assert moved < len(KEYS) / 3
+
+
+def test_weights_set_the_part_of_the_keys():
+    firsts = Counter(weighted_order(key, {"a": 3.0, "b": 1.0})[0] for key in KEYS)
+    assert 0.70 < firsts["a"] / len(KEYS) < 0.80
+
+
+def test_without_nodes_nothing_is_assigned():
+    assert assign_bounded(KEYS, []) == []
+    assert weighted_order("key", {}) == []
