Prove at-most-once with real processes: entry killed, paused, faulty servers

Cause: the invariants I3, I4, I5 and I9 were covered by fakes at interfaces only; no test compared what callers were told with what backend servers ran while processes fail.

The stand-in servers can now close after reading and leave their reports unanswered, and log the entry that a caller chose; the stand-in caller counts sends without an answer.

Tried and ruled out: a final answer for every idempotent call at a silent server.

Before: no such test.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -29,6 +29,9 @@
             serving what still arrives.
         silent: Whether requests run but are never answered.
         accept_only: Whether requests are read, never run and never answered.
+        close_after_read: Whether the connection is closed after a request was
+            read; the request does not run.
+        silent_reports: Whether the health and load reports never answer.
         late_s: Time added between running a request and answering it.
         truncate: Whether answers end in the middle.
         shed: Whether every request is shed.
@@ -41,6 +44,8 @@
     draining: bool = False
     silent: bool = False
     accept_only: bool = False
+    close_after_read: bool = False
+    silent_reports: bool = False
     late_s: float = 0.0
     truncate: bool = False
     shed: bool = False
@@ -52,10 +57,20 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RunRecord:
-    """One request that a server started."""
+    """One request that a server started.
+
+    Attributes:
+        server: Identifier of the server.
+        key: Idempotency key, empty without one.
+        entry: VM of the entry that the caller sent the request to.
+        method: HTTP method.
+        path: Path with query.
+        started_at: Wall time of the start in seconds.
+    """
 
     server: str
     key: str
+    entry: str
     method: str
     path: str
     started_at: float
@@ -107,6 +122,8 @@
 async def health(request: web.Request) -> web.Response:
     """Answer the health report."""
     state = request.app[STATE]
+    if state.faults.silent_reports:
+        await asyncio.sleep(3600)
     status = "ok"
     if time.monotonic() < state.cold_until:
         status = "cold"
@@ -118,6 +135,8 @@
 async def load(request: web.Request) -> web.Response:
     """Answer the load report."""
     state = request.app[STATE]
+    if state.faults.silent_reports:
+        await asyncio.sleep(3600)
     reported = state.in_flight if state.faults.stale_load is None else state.faults.stale_load
     return web.json_response({"in_flight": reported, "slots": state.slots, "at": time.time()})
 
@@ -152,6 +171,9 @@
     body = await request.read()
     if state.faults.accept_only:
         await asyncio.sleep(3600)
+    if state.faults.close_after_read and request.transport is not None:
+        request.transport.close()
+        return web.Response()
     if state.faults.shed or state.in_flight >= state.slots:
         state.shed_count += 1
         headers = {"Backend-Not-Run": "1", "Retry-After": "1", **leaving_header(state)}
@@ -175,6 +197,7 @@
         RunRecord(
             server=state.name,
             key=request.headers.get("Idempotency-Key", ""),
+            entry=request.headers.get("X-Caller-Entry", ""),
             method=request.method,
             path=request.path_qs,
             started_at=time.time(),
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -73,6 +73,7 @@
         code: Result code of the last answer, -1 without one.
         latency_s: Time from the intended start to the final answer.
         sends: Number of times that it was sent.
+        broken_sends: Sends that ended without an answer, refused connections included.
         started_at: Wall time of the intended start.
         not_run_keys: Keys under which an answer said that nothing was run.
     """
@@ -83,6 +84,7 @@
     code: int
     latency_s: float
     sends: int
+    broken_sends: int
     started_at: float
     not_run_keys: tuple[str, ...] = ()
 
@@ -185,6 +187,7 @@
             code=flow.code,
             latency_s=time.monotonic() - started,
             sends=flow.sends,
+            broken_sends=flow.broken_sends,
             started_at=started_at,
             not_run_keys=tuple(flow.not_run_keys),
         )
@@ -203,6 +206,7 @@
     may_have_run: bool = False
     not_run_keys: list[str] = field(default_factory=list)
     sends: int = 0
+    broken_sends: int = 0
     code: int = -1
 
     async def run(self) -> CallOutcome:
@@ -257,6 +261,7 @@
         self, entry: Entry, answer: Answer, excluded: set[str]
     ) -> CallOutcome | None:
         """Decide after a send without an answer."""
+        self.broken_sends += 1
         excluded.add(entry.incarnation)
         self.caller.cache = None if not answer.sent else self.caller.cache
         if self.call.idempotent:
@@ -297,6 +302,7 @@
             "Host": self.call.host,
             "Knapweed-Deadline-Ms": str(int(remaining * 1000)),
             "X-Caller-Request": self.key,
+            "X-Caller-Entry": entry.vm,
         }
         if not self.call.idempotent:
             headers["Idempotency-Key"] = self.key
--- /dev/null
+++ b/tests/processes/test_entry_failures.py
@@ -0,0 +1,3 @@
+from pytest_bdd import scenarios
+
+scenarios("../features/entry_failures.feature")
