Keep the agent running while the entry of its VM stops; prove keys and planned stops

Cause: a planned stop of a VM sends SIGTERM to all of its processes. The agent ended at once, so that no peer learned that the entry was leaving: look-ups named it until its port was refused, and callers got broken connections.

The agent now waits on SIGTERM for 1 s, and while its entry reports "leaving", until it has left (45 s at most). An agent that is stopped alone still ends after 1 s, because its entry goes on serving.

Ruled out: a fault in the entry (the scenario that stops only the entry passed before) and in the look-up (callers ask another one).

--- a/knapweeddock/agent/__main__.py
+++ b/knapweeddock/agent/__main__.py
@@ -31,7 +31,7 @@
             vm_list=HttpVmList(url=loaded.platform_url),
         )
 
-    return run_daemon(build)
+    return run_daemon(build, drain=AgentService.drain)
 
 
 def main() -> None:
--- a/knapweeddock/agent/service.py
+++ b/knapweeddock/agent/service.py
@@ -11,7 +11,7 @@
 from knapweeddock.agent.evidence import EvidenceProbe
 from knapweeddock.agent.handlers import NodeHandler, PeerHandler
 from knapweeddock.agent.metrics import AgentMetrics
-from knapweeddock.agent.ownmember import OwnMember
+from knapweeddock.agent.ownmember import REPORT_SILENCE_S, OwnMember
 from knapweeddock.agent.platform import (
     VM_LIST_INTERVAL_S,
     Backoff,
@@ -25,6 +25,7 @@
 from knapweeddock.objectstore import ObjectStore
 from knapweeddock.settings import AgentSettings
 from knapweeddock.spread import SpreadNode
+from knapweeddock.state import MemberState
 from knapweeddock.vmlist import VmList
 
 COMPARE_INTERVAL_S = 1.0
@@ -47,6 +48,18 @@
 """Distance of two ticks above which the process was paused. Heartbeats are not
 judged then, since those of the others could not arrive."""
 
+STOP_NOTICE_S = 1.0
+"""Time in which the entry of a VM whose processes are all stopped together has
+reported that it is leaving."""
+
+DRAIN_CHECK_S = 0.1
+
+DRAIN_LIMIT_S = 45.0
+"""Longest wait for the entry: its look-up lifetime and its limit for running requests."""
+
+LAST_PUSH_S = 0.5
+"""Time in which the last state of the entry reaches the peers."""
+
 log = structlog.get_logger(__name__)
 
 
@@ -113,6 +126,27 @@
         await self.store.close()
         await self.vm_list.close()
 
+    async def drain(self) -> None:
+        """Go on while the entry of this VM is stopping.
+
+        Peers learn only from here that the entry is leaving. A VM whose
+        processes are all stopped together would otherwise stay in look-ups.
+        """
+        await self.sleep(STOP_NOTICE_S)
+        deadline = self.clock.monotonic() + DRAIN_LIMIT_S
+        was_leaving = False
+        while self._entry_leaves() and self.clock.monotonic() < deadline:
+            was_leaving = True
+            await self.sleep(DRAIN_CHECK_S)
+        if was_leaving:
+            await self.sleep(LAST_PUSH_S)
+
+    def _entry_leaves(self) -> bool:
+        own = self.core.own
+        is_silent = own.entry_silent_s(self.clock.monotonic()) > REPORT_SILENCE_S
+        leaving = MemberState.LEAVING.value
+        return own.entry is not None and own.entry.state == leaving and not is_silent
+
     @Service.task
     async def _compare_loop(self) -> None:
         started_at = self.clock.monotonic()
--- a/knapweeddock/daemon.py
+++ b/knapweeddock/daemon.py
@@ -2,26 +2,34 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import structlog
 from mode import Service
 
 EXIT_CRASHED = 1
 
+ServiceT = TypeVar("ServiceT", bound=Service)
+
 log = structlog.get_logger(__name__)
 
 
-def run_daemon(build: Callable[[], Service]) -> int:
+def run_daemon(
+    build: Callable[[], ServiceT], *, drain: Callable[[ServiceT], Awaitable[None]] | None = None
+) -> int:
     """Run a service and return the exit status of the process.
 
     Args:
         build: Makes the service; called inside the event loop.
+        drain: What to wait for between a signal and the stop of the service.
     """
-    return asyncio.run(_run(build))
+    return asyncio.run(_run(build, drain))
 
 
-async def _run(build: Callable[[], Service]) -> int:
+async def _run(
+    build: Callable[[], ServiceT], drain: Callable[[ServiceT], Awaitable[None]] | None
+) -> int:
     service = build()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -33,6 +41,8 @@
         asyncio.create_task(service.wait_until_stopped()),
     ]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    if drain is not None and stop.is_set():
+        await drain(service)
     await service.stop()
     for wait in waits:
         wait.cancel()
--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,56 @@
+import asyncio
+import random
+import signal
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from standins.caller import Call, Caller, CallOutcome, caller_session
+from tests.processes.world import HOST
+
+scenarios("../features/planned_stop.feature")
+
+CLIENT_NEAREST_TO_NORTH_A = "127.1.0.1"
+
+
+async def long_booking(world, vm, seconds):
+    """Send one booking to the entry that is named for ``vm``."""
+    lookups = [world.deployment.vms[vm].lookup_url]
+    async with caller_session() as session:
+        caller = Caller(
+            session=session,
+            lookups=lookups,
+            service="shop",
+            address=CLIENT_NEAREST_TO_NORTH_A,
+            rng=random.Random(1),
+        )
+        entries = await caller.entries()
+        caller.cache.entries = [entry for entry in entries if entry.vm == vm]
+        path = f"/bookings?service_ms={seconds * 1000}"
+        call = Call(
+            kind="long", host=HOST, method="POST", path=path, idempotent=False, deadline_s=10
+        )
+        return await caller.run(call)
+
+
+@when(parsers.parse("a booking that takes {seconds:d} s is begun at {vm}"))
+def _(world, vm, seconds):
+    coroutine = long_booking(world, vm, seconds)
+    world.long_booking = asyncio.run_coroutine_threadsafe(coroutine, world.loop)
+
+
+@when(parsers.parse("{which} of {vm} get SIGTERM"))
+def _(world, which, vm):
+    place = world.deployment.vms[vm]
+    for process in place.processes if which == "all processes" else [place.entry]:
+        process.send(signal.SIGTERM)
+
+
+@when(parsers.parse("the entry process of {vm} has ended with status {status:d}"))
+def _(world, vm, status):
+    assert world.deployment.vms[vm].entry.wait() == status
+
+
+@then("the long booking was completed")
+def _(world):
+    result = world.long_booking.result()
+    assert (result.outcome, result.sends) == (CallOutcome.COMPLETE, 1)
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -11,6 +11,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+import aiohttp
+
 from bench.load import LoadRun, make_callers
 from bench.summary import compare_with_logs
 from demo.scenario import knapweed
@@ -141,7 +143,7 @@
         self.loop = asyncio.new_event_loop()
         self.load = None
         self.load_task = None
-        self.results = []
+        self.incarnations = {}
         self.reset()
 
     def reset(self):
@@ -174,9 +176,31 @@
                     await asyncio.sleep(0.1)
 
     def start_vm(self, vm: VmProcesses):
-        for process in vm.processes:
-            if not process.running:
-                process.start()
+        """Start what does not run; return whether the entry was started."""
+        stopped = [process for process in vm.processes if not process.running]
+        for process in stopped:
+            process.start()
+        return vm.entry in stopped
+
+    async def incarnation_of(self, vm):
+        """Take the incarnation of an entry from a look-up, as a caller does."""
+        place = self.deployment.vms[vm]
+        url = f"{place.lookup_url}/v1/lookup"
+        query = {"service": "shop", "client": f"{CLIENTS[place.failure_domain]}.1"}
+        async with aiohttp.ClientSession() as session, session.get(url, params=query) as reply:
+            entries = (await reply.json()).get("entries", [])
+        return next((entry["incarnation"] for entry in entries if entry["vm"] == vm), "")
+
+    async def note_incarnations(self, restarted=()):
+        """Note all incarnations, those of restarted entries once they are new."""
+        async with asyncio.timeout(HANG_LIMIT_S):
+            for vm in self.deployment.vms:
+                before = self.incarnations.get(vm, "") if vm in restarted else None
+                found = await self.incarnation_of(vm)
+                while not found or found == before:
+                    await asyncio.sleep(0.1)
+                    found = await self.incarnation_of(vm)
+                self.incarnations[vm] = found
 
     async def restore(self):
         """End all faults and wait until all VMs serve again."""
@@ -185,13 +209,13 @@
         for process in [self.deployment.platform, *self.deployment.backends]:
             if not process.running:
                 process.start()
-        for vm in self.deployment.vms.values():
-            self.start_vm(vm)
+        restarted = [name for name, vm in self.deployment.vms.items() if self.start_vm(vm)]
         await self.when(self.deployment.set_platform_faults)
         await self.when(self.deployment.publish_vm_list)
         for place in self.deployment.servers:
             await self.when(lambda name=place.server: self.deployment.set_server_faults(name))
         await self.deployment.wait_ready(HANG_LIMIT_S)
+        await self.note_incarnations(restarted)
 
     async def server_logs(self):
         return {log["server"]: log for log in await self.deployment.server_logs()}
