Start new requests past retries that wait for another server

The fuzz test's new check (nobody waits beside a free slot) found that a new request was queued although a slot was free, when the only waiting work was a retry that may not use that slot's server. The request then waited for the next event. New work now starts unless work that could use any server is waiting.

--- a/knapweeddock/dispatcher.py
+++ b/knapweeddock/dispatcher.py
@@ -159,8 +159,8 @@
             self._start_granted(work, now)
             return
         queue = self._queue(work)
-        self._start_waiting(work.pool, now)
-        if queue or not self._start(work, now):
+        nothing_free = self._start_waiting(work.pool, now)
+        if nothing_free or not self._start(work, now):
             self._enqueue(work, queue, now)
 
     def _obstacle(self, arrival: Arrival, work: Work) -> ResultCode | None:
@@ -200,7 +200,13 @@
         else:
             self.actions.append(self.attempts.start(work, slot, now))
 
-    def _start_waiting(self, pool: PoolId, now: float) -> None:
+    def _start_waiting(self, pool: PoolId, now: float) -> bool:
+        """Start waiting work in order.
+
+        Returns:
+            Whether nothing is free for any server, so that no further work
+            can start. Retries that wait for another server do not count.
+        """
         queue = self.queues.get(pool)
         for work in queue or ():
             if work.start_by <= now:
@@ -208,8 +214,8 @@
             elif self._start(work, now):
                 queue.remove(work)
             elif not work.tried:
-                # Nothing is free for any server, so no later work can start.
-                break
+                return True
+        return False
 
     def _review(self, pool: PoolId, now: float) -> None:
         """Give up the waiting work that can no longer be started in time."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -140,6 +140,15 @@
     assert last.request == "r2"
 
 
+def test_a_retry_that_waits_for_another_server_holds_up_nobody():
+    """Guards against a free slot that stays unused because the queue is not empty."""
+    rig = Rig(servers=2)
+    [first], [_] = rig.arrive(), rig.arrive()
+    assert rig.end(first.attempt, SHED) == []
+    [send] = rig.arrive()
+    assert send.slot == first.slot
+
+
 def test_a_hopeless_wait_is_refused_at_once():
     """Guards against requests that are held until near their deadline."""
     rig = Rig(servers=1)
@@ -232,6 +241,17 @@
     assert rig.end(send.attempt) == [ForgetAnswer(attempt=send.attempt)]
 
 
+def test_a_shed_request_under_a_grant_stays_on_the_slots_of_the_grant():
+    """Guards against a lender that spends its own slots on a borrower's request."""
+    rig = Rig(servers=2)
+    rig.capacity.add_grant("g", make_slots("lent", servers=2, slots_per_server=1))
+    use = GrantUse(grant="g", incarnation=OWN, site="lent")
+    [first] = rig.book(key=rig.key(own="borrower"), grant=use)
+    [second] = rig.end(first.attempt, SHED)
+    assert second.slot.site == "lent"
+    assert codes(rig.end(second.attempt, SHED)) == [("r1", ResultCode.SHED)]
+
+
 def test_caller_gone_cancels_idempotent_requests_only():
     """Guards against a cancelled booking whose re-send would then run a second time."""
     rig = Rig()
--- a/tests/test_dispatcher_fuzz.py
+++ b/tests/test_dispatcher_fuzz.py
@@ -33,7 +33,7 @@
     SendToServer,
     Tick,
 )
-from knapweeddock.grants import Grant, Refusal
+from knapweeddock.grants import Grant, Refusal, Slot
 from knapweeddock.idempotency import KeyState
 
 from .dispatching import POOL, Rig, make_lender
@@ -42,9 +42,12 @@
 NOT_STARTED = (AttemptOutcome.REFUSED, AttemptOutcome.SHED)
 AMBIGUOUS = (AttemptOutcome.LOST, AttemptOutcome.INCOMPLETE, AttemptOutcome.TIMED_OUT)
 LIMITS = DispatchSettings(
-    max_queue=4, keys=KeyLimits(max_keys=4, max_key_life_s=60.0, retention_s=5.0)
+    max_queue=4, keys=KeyLimits(max_keys=4, max_key_life_s=60.0, retention_s=2.0)
 )
 BUDGETS = st.sampled_from([30.0] * 5 + [1.0, 0.05, 0.0])
+AGES = st.sampled_from([0, 0, 0, 1, 2])
+KEY_WINDOW_S = 4.0
+"""New key names come into use after this time, so that keys of all ages occur."""
 NOT_FINAL = (ResultCode.KEY_TABLE_FULL, ResultCode.KEY_MISMATCH)
 """Refusals of one request that say nothing of later ones with the same key."""
 
@@ -81,6 +84,7 @@
         self.denied: set[object] = set()
         self.committed: set[str] = set()
         self.grants = 0
+        self.grant_slots: dict[str, list[Slot]] = {}
 
     # What the world does with events and actions
 
@@ -121,6 +125,9 @@
             running = [f for f in self.flights.values() if f.operation == key_of(key)]
             assert all(isinstance(flight.send, SendToEntry) for flight in running)
         assert send.deadline > self.clock.monotonic()
+        use = self.arrivals[send.request].grant
+        if use is not None:
+            assert send.slot in self.grant_slots[use.grant]
 
     def check_reply(self, request, code):
         operation = self.operations[request]
@@ -169,6 +176,11 @@
         self.open.add(arrival.request)
         self.handle(entry, arrival)
 
+    def make_key(self, owner, number, age):
+        window = int((self.clock.wall() - EPOCH) // KEY_WINDOW_S) - age
+        not_after = EPOCH + KEY_WINDOW_S * (window + 1) + number
+        return IdempotencyKey(key=f"k{number}w{window}", incarnation=owner, not_after=not_after)
+
     # Rules
 
     @rule(entry=st.sampled_from("aaab"), budget=BUDGETS)
@@ -181,14 +193,15 @@
 
     @rule(
         owner=st.sampled_from(["inc-a"] * 4 + ["inc-b", "inc-old"]),
-        name=st.sampled_from(["k1", "k2", "k3", "k4", "k5"]),
+        number=st.integers(0, 2),
+        age=AGES,
         body=st.sampled_from([b"x"] * 5 + [b"y"]),
         budget=BUDGETS,
         astray=st.integers(0, 9),
     )
-    def book(self, owner, name, body, budget, astray):
+    def book(self, owner, number, age, body, budget, astray):
         entry = "b" if astray == 0 or owner == "inc-b" else "a"
-        key = IdempotencyKey(key=name, incarnation=owner, not_after=EPOCH + 5.0 * int(name[1]))
+        key = self.make_key(owner, number, age)
         arrival = Arrival(
             request=f"q{len(self.arrivals)}",
             host="ringbook.example",
@@ -270,6 +283,7 @@
             self.grants += 1
             grant = f"g{self.grants}"
             lender.add_grant(grant, slots)
+            self.grant_slots[grant] = slots
             result = Grant(
                 grant=grant,
                 lender=vm,
@@ -290,12 +304,11 @@
         for slot in lender.granted.pop(grant, ()):
             lender.free[POOL].append(slot)
             lender.homes[slot] = lender.free[POOL]
+        self.handle("b", Tick())
 
-    @rule(entry=st.sampled_from("ab"), name=st.sampled_from(["k1", "k2", "k3", "k4"]))
-    def ask_outcome(self, entry, name):
-        key = IdempotencyKey(
-            key=name, incarnation=f"inc-{entry}", not_after=EPOCH + 5.0 * int(name[1])
-        )
+    @rule(entry=st.sampled_from("ab"), number=st.integers(0, 2), age=AGES)
+    def ask_outcome(self, entry, number, age):
+        key = self.make_key(f"inc-{entry}", number, age)
         answer = self.rigs[entry].dispatcher.outcome_query(key, self.clock.monotonic())
         if answer.state is KeyState.NOT_RUN:
             assert not self.starts[key_of(key)]
@@ -328,6 +341,16 @@
             waiting |= rig.dispatcher.callers.waiting.keys()
         assert waiting == self.open
 
+    @invariant()
+    def nobody_waits_without_a_reason(self):
+        for name, rig in self.rigs.items():
+            waiting = [work for queue in rig.dispatcher.queues.values() for work in queue]
+            if waiting:
+                calls = [entry for entry, _ in self.borrows if entry == name]
+                assert rig.capacity.held_count or calls, "no slot can come free"
+            if not all(work.tried for work in waiting):
+                assert not rig.capacity.free[POOL], "a slot is free"
+
     def teardown(self):
         for _ in range(100):
             for attempt in list(self.flights):
