--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,69 @@
+"""Indexes: guards against lenders that cannot lend and owners that cannot work."""
+
+from knapweeddock.fleet import ConfigIndex, LenderDirectory, may_own
+from knapweeddock.model import BackendServer, Config, Drains, Link, Region, Site
+from knapweeddock.state import Member, MemberState, NodeState
+
+
+def make_member(vm, domain, state=MemberState.SERVING, **more):
+    return Member(
+        vm=vm,
+        failure_domain=domain,
+        incarnation=f"i-{vm}",
+        state=state,
+        public_address=vm,
+        internal_address=vm,
+        lending_address=vm,
+        **more,
+    )
+
+
+def make_index(**drains):
+    sites = {
+        f"s-{domain}": Site(
+            pool="p", failure_domain=domain, servers={domain: BackendServer(address=domain)}
+        )
+        for domain in ("far", "near", "home", "same")
+    }
+    regions = {
+        "R": Region(failure_domains=["home", "same"]),
+        "N": Region(failure_domains=["near"]),
+        "F": Region(failure_domains=["far"]),
+    }
+    links = {"R->N": Link(delay_ms=5.0), "R->F": Link(delay_ms=50.0)}
+    config = Config(regions=regions, links=links, sites=sites, drains=Drains(**drains))
+    return ConfigIndex(config, "home")
+
+
+def test_sites_are_ordered_by_delay_and_drained_ones_left_out():
+    assert make_index().open_sites("p") == ["s-home", "s-same", "s-near", "s-far"]
+    index = make_index(sites={"s-same": True, "s-far": False}, failure_domains={"near": True})
+    assert index.open_sites("p") == ["s-home", "s-far"]
+    assert index.is_drained("unknown")
+
+
+def test_lenders_take_work_and_suspected_ones_come_last():
+    found = [
+        make_member("self", "home"),
+        make_member("owner", "home"),
+        make_member("no-owner", "home"),
+        make_member("quiet", "far", suspected=True),
+        make_member("lively", "far"),
+        make_member("left", "far", state=MemberState.LEAVING),
+        make_member("gone", "far", down=True),
+    ]
+    directory = LenderDirectory(vm="self", domain="home")
+    directory.update(NodeState(config_version=1, config=Config(), members={m.vm: m for m in found}))
+    owners = {"s-home": {"owner", "self"}}
+    names = [lender.vm for lender in directory.candidates("p", make_index(), owners)]
+    assert names == ["owner", "lively", "quiet"]
+
+
+def test_owners_are_the_serving_members_that_are_not_drained():
+    serving = [make_member("a", "home"), make_member("b", "home")]
+    leaving = make_member("c", "home", state=MemberState.LEAVING)
+    joining = make_member("d", "home", state=MemberState.JOINING)
+    assert may_own([*serving, leaving, joining], {"a"}) == {"b"}
+    assert may_own([*serving, leaving], {"a", "b"}) == {"a", "b"}
+    assert may_own([leaving, joining], set()) == {"c"}
+    assert may_own([joining], set()) == set()
