Decode settled reports only when they changed

An entry hears of its members twice a second; it decoded and hashed the reports of every member for every local site each time.

--- a/knapweeddock/handover.py
+++ b/knapweeddock/handover.py
@@ -295,8 +295,6 @@
                 self.absent_since.pop(vm)
                 self._note_gone(vm, self.current[vm].incarnation, now, evidence=True)
 
-    def reports(self, site: SiteId) -> dict[VmId, SettledReport]:
-        """Return the reports of the members about ``site``."""
-        return {
-            vm: decode_report(member.settled_views.get(site)) for vm, member in self.current.items()
-        }
+    def tokens(self, site: SiteId) -> dict[VmId, ViewId | None]:
+        """Return what the members report about ``site``."""
+        return {vm: member.settled_views.get(site) for vm, member in self.current.items()}
--- a/knapweeddock/localsite.py
+++ b/knapweeddock/localsite.py
@@ -4,9 +4,9 @@
 
 from knapweeddock.choice import choose
 from knapweeddock.grants import Slot
-from knapweeddock.handover import SettledReport, SiteHandover
+from knapweeddock.handover import SettledReport, SiteHandover, decode_report
 from knapweeddock.health import HealthBook
-from knapweeddock.ids import FailureDomainId, GrantId, RegionId, ServerId, SiteId, VmId
+from knapweeddock.ids import FailureDomainId, GrantId, RegionId, ServerId, SiteId, ViewId, VmId
 from knapweeddock.ledger import Hold, Ledger
 from knapweeddock.lending import Lender, Offer, PeakMeter
 from knapweeddock.model import Site
@@ -44,6 +44,9 @@
         self.waiting_at = float("-inf")
         self.site: Site | None = None
         self.basis: tuple | None = None
+        self.tokens: Mapping[VmId, ViewId | None] = {}
+        self.reports: Mapping[VmId, SettledReport] = {}
+        self.stale = True
         self.guaranteed: dict[FailureDomainId, int] = {}
 
     def configure(
@@ -64,21 +67,24 @@
             self.handover.enter(view, next_epoch())
         self._apply_rights()
 
-    def advance(
-        self, reports: Mapping[VmId, SettledReport], takeover_allowed: bool, *, renew: bool
-    ) -> None:
+    def hear(self, tokens: Mapping[VmId, ViewId | None]) -> None:
+        """Take the reports of the domain's members; the own one must cover them."""
+        if tokens != self.tokens:
+            self.tokens = tokens
+            self.reports = {vm: decode_report(token) for vm, token in tokens.items()}
+            self.stale = True
+
+    def advance(self, *, takeover_allowed: bool) -> None:
         """Report having settled and take new slots, as far as that is possible.
 
         Args:
-            reports: Reports of the domain's members about the site.
             takeover_allowed: Whether the wait after the last evidence is over.
-            renew: Whether the reports are new, so that the own one must cover
-                them again.
         """
-        if renew or not self.handover.reported:
+        if self.stale or not self.handover.reported:
             uses = self.ledger.uses(self.site_id, self.site.servers)
-            self.handover.settle(uses, reports)
-        if self.handover.advance(reports, takeover_allowed):
+            self.handover.settle(uses, self.reports)
+            self.stale = False
+        if self.handover.advance(self.reports, takeover_allowed):
             self._apply_rights()
 
     def _apply_rights(self) -> None:
--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -109,7 +109,7 @@
         leaving = state.leaving_servers | self.index.drained_servers
         self.health.configure(self.index.local_servers(), leaving)
         self._configure_sites(now)
-        self._advance_sites(now, renew=True)
+        self._advance_sites(now)
 
     def _configure_sites(self, now: float) -> None:
         current = self.members.current.values()
@@ -124,17 +124,16 @@
                 local = LocalSite(site_id=site_id, vm=self.vm, ledger=self.ledger, now=now)
                 self.sites[site_id] = local
             local.configure(site, self.index.limits[site_id], refs, self._next_epoch)
+            local.hear(self.members.tokens(site_id))
 
     def _next_epoch(self) -> int:
         self.epoch += 1
         return self.epoch
 
-    def _advance_sites(self, now: float, *, renew: bool) -> None:
+    def _advance_sites(self, now: float) -> None:
         takeover_allowed = now >= self.members.takeover_at and not self.marked_down
-        for site_id, local in self.sites.items():
-            if renew or not (local.handover.complete and local.handover.reported):
-                reports = self.members.reports(site_id)
-                local.advance(reports, takeover_allowed, renew=renew)
+        for local in self.sites.values():
+            local.advance(takeover_allowed=takeover_allowed)
 
     def _advance(self, now: float) -> None:
         """Notice a pause and end grants before any decision at ``now``."""
@@ -164,7 +163,7 @@
         """Let terms, ramps, backoffs and handovers advance to ``now``."""
         self._advance(now)
         self.borrower.tick(now)
-        self._advance_sites(now, renew=False)
+        self._advance_sites(now)
         for local in self.sites.values():
             local.follow_ramp(self.lender, now)
 
