Wait for the term of grants, not for a part of the uptime, when stopping

In a trial with three VMs a stop took 10 s where 4 s were expected. The drift factor was applied to the absolute monotonic time at which the newest grant ends, so the wait grew by 1 % of the machine's uptime, up to the limit of the stop. It now applies to the term alone.

The same trial showed that mode's timers and hpack write several debug lines for each wake-up and message; the polls no longer use mode's timer, and the HTTP/2 libraries are kept at level info.

--- a/knapweeddock/entry/dispatchloop.py
+++ b/knapweeddock/entry/dispatchloop.py
@@ -12,7 +12,7 @@
 import structlog
 from mode import Service
 
-from knapweeddock.clock import Clock
+from knapweeddock.clock import CLOCK_DRIFT, Clock
 from knapweeddock.codes import ResultCode
 from knapweeddock.dispatcher import Dispatcher
 from knapweeddock.entry.entrymetrics import EntryMetrics
@@ -236,7 +236,8 @@
             case LendCall(request=request, result=result):
                 granted = self.dispatcher.capacity.grant(request, now)
                 if isinstance(granted, Grant):
-                    self.last_grant_end = max(self.last_grant_end, now + granted.term_s)
+                    end = now + granted.term_s * (1 + CLOCK_DRIFT)
+                    self.last_grant_end = max(self.last_grant_end, end)
                 if not result.done():
                     result.set_result(granted)
             case CallerGone(request=request):
--- a/knapweeddock/entry/service.py
+++ b/knapweeddock/entry/service.py
@@ -240,11 +240,12 @@
     @Service.task
     async def watch_own_record(self) -> None:
         """Notice when peers have recorded this process as gone."""
-        async for _ in self.itertimer(STATE_CHECK_S):
+        while True:
             if self.capacity.marked_down:
-                log.error("this incarnation is marked down; finishing what runs")
-                self.marked_down.set()
-                return
+                break
+            await asyncio.sleep(STATE_CHECK_S)
+        log.error("this incarnation is marked down; finishing what runs")
+        self.marked_down.set()
 
     # Stopping
 
@@ -269,22 +270,22 @@
         self.loop_service.post(DrainStarted())
         try:
             async with asyncio.timeout(self.settings.limits.stop_limit_s):
-                async for _ in self.itertimer(POLL_S):
+                while True:
                     if not self._is_busy():
                         break
+                    await asyncio.sleep(POLL_S)
         except TimeoutError:
             log.error("requests still run at the limit of the stop", active=self.handling.active)
         # One more tick lets the slots settle before the last report.
         await asyncio.sleep(2 * TICK_S)
 
     def _is_busy(self) -> bool:
-        grants_end = self.loop_service.last_grant_end * (1 + CLOCK_DRIFT)
         return bool(
             self.handling.active
             or self.sender.attempts
             or self.loop_service.gone
             or not self.loop_service.queue.empty()
-            or self.clock.monotonic() < grants_end
+            or self.clock.monotonic() < self.loop_service.last_grant_end
         )
 
     def _lookup_lifetime_s(self) -> float:
--- a/knapweeddock/logs.py
+++ b/knapweeddock/logs.py
@@ -7,6 +7,9 @@
 import msgspec
 import structlog
 
+VERBOSE_LOGGERS = ("hpack", "h2", "asyncio")
+"""Libraries whose debug lines, several for each message, would hide all others."""
+
 _encoder = msgspec.json.Encoder(enc_hook=repr)
 
 
@@ -42,6 +45,8 @@
     handler = logging.StreamHandler(stream)
     handler.setFormatter(formatter)
     logging.basicConfig(handlers=[handler], level=threshold, force=True)
+    for name in VERBOSE_LOGGERS:
+        logging.getLogger(name).setLevel(max(threshold, logging.INFO))
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(**fields)
 
--- a/tests/entry/test_lending.py
+++ b/tests/entry/test_lending.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from knapweeddock.clock import ManualClock
 from knapweeddock.codes import ResultCode
 from knapweeddock.entry.lending import (
     LendingClient,
@@ -59,13 +60,18 @@
         writer.write(answer(body or b"read", headers=["Set-Cookie: a=1"]))
         return True
 
-    async with lender_and_borrower(script) as (server, _, run):
+    async with lender_and_borrower(script) as (server, lender, run):
         headers = run.caller.key()
         data = b"charge" if method == "POST" else None
         response, body = await run.send(method, "/x?y=1", headers=headers, data=data)
         assert (response.status, body) == (200, data or b"read")
         assert response.headers["Set-Cookie"] == "a=1"
         assert response.headers.getall("Knapweed-Result") == ["0"]
+        # A stop must wait for the grant's term, and for no longer than that.
+        lender.clock = ManualClock(start=lender.loop_service.last_grant_end - 0.1)
+        assert lender._is_busy()
+        lender.clock.advance(0.2)
+        assert not lender._is_busy()
     assert server.heads[0].startswith(f"{method} /x?y=1 HTTP/1.1")
     assert "Host: ledger.test" in server.heads[0]
     assert "Knapweed-" not in server.heads[0]
