--- a/knapweeddock/entry/agentlink.py
+++ b/knapweeddock/entry/agentlink.py
@@ -82,13 +82,19 @@
     async def subscribe(self) -> None:
         """Follow the agent's stream; replace it when it breaks or goes silent."""
         retry_s = RETRY_MIN_S
+        received = True
         while True:
-            received = await self._follow()
+            received = await self._follow(log_level="warning" if received else "debug")
             retry_s = RETRY_MIN_S if received else min(retry_s * 2, RETRY_MAX_S)
             await asyncio.sleep(retry_s * self.rng.uniform(0.5, 1.0))
 
-    async def _follow(self) -> bool:
-        """Take snapshots until the stream ends and return whether there were any."""
+    async def _follow(self, *, log_level: str) -> bool:
+        """Take snapshots until the stream ends and return whether there were any.
+
+        Args:
+            log_level: Level at which the end is logged; lower while the agent
+                stays away, so that its absence is not logged again and again.
+        """
         received = False
         self.previous = None
         channel = self._channel()
@@ -105,7 +111,7 @@
                     self._take(state_from_message(message, previous=self.previous))
                     received = True
         except (MessageError, *CALL_ERRORS) as error:
-            log.warning("stream of the agent ended", error=repr(error))
+            getattr(log, log_level)("stream of the agent ended", error=repr(error))
             return received
         finally:
             channel.close()
