--- a/tests/test_spread_fuzz.py
+++ b/tests/test_spread_fuzz.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass
 
 import msgspec
+import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from knapweeddock import confighistory
 from knapweeddock.changes import Change, Head, VersionedDocument
 from knapweeddock.confighistory import Progress
 from knapweeddock.ids import ChangeId, FailureDomainId, Version, VmId
@@ -37,8 +39,8 @@
     what setting and removing their keys in order gives.
     """
 
-    @initialize(seed=st.integers(0, 2**16))
-    def set_up(self, seed: int) -> None:
+    @initialize(seed=st.integers(0, 2**16), kept=st.sampled_from([0, 2]))
+    def set_up(self, seed: int, kept: int) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.start_ms = 0
@@ -48,14 +50,22 @@
         self.cut: set[str] = set()
         self.nodes: dict[str, SpreadNode] = {}
         self.versions: dict[str, int] = {}
+        self.stamps: dict[tuple[str, str], tuple[int, int]] = {}
         self.member_versions: dict[str, tuple[int, int]] = {}
         for vm in PLACES:
             self.start(vm)
+        # Without it, most runs would end before the nodes know each other.
+        self.converge()
+
+        # With few or no kept changes, peers often serve whole documents.
+        self.kept = pytest.MonkeyPatch()
+        self.kept.setattr(confighistory, "MAX_KEPT_CHANGES", kept)
 
     def start(self, vm: str) -> None:
         domain = FailureDomainId(PLACES[vm])
         self.nodes[vm] = SpreadNode(vm=VmId(vm), failure_domain=domain)
         self.versions[vm] = 0
+        self.stamps = {place: stamp for place, stamp in self.stamps.items() if place[0] != vm}
         self.start_ms += 1
         self.publish(vm, self.start_ms, 1)
 
@@ -75,8 +85,8 @@
 
     # Faults and inputs
 
-    @rule(key=st.sampled_from("xyz"), value=st.none() | st.integers(0, 9))
-    def accept_change(self, key: str, value: int | None) -> None:
+    @rule(key=st.sampled_from("xyz"), value=st.none() | st.integers(0, 9), reader=vm_names)
+    def accept_change(self, key: str, value: int | None, reader: str) -> None:
         document = dict(self.documents[-1])
         if value is None:
             document.pop(key, None)
@@ -84,6 +94,7 @@
             document[key] = value
         self.patches.append({key: value})
         self.documents.append(document)
+        self.read_platform(reader, 0)
 
     @precondition(lambda self: self.patches)
     @rule(vm=vm_names, lag=st.integers(0, 4))
@@ -118,9 +129,10 @@
         start, version = self.member_versions[vm]
         self.publish(vm, start, version + 1)
 
-    @rule(vm=vm_names)
-    def restart(self, vm: str) -> None:
+    @rule(vm=vm_names, peer=vm_names)
+    def restart(self, vm: str, peer: str) -> None:
         self.start(vm)
+        self.start_comparison(vm, peer)
 
     @rule(vm=vm_names)
     def cut_off(self, vm: str) -> None:
@@ -196,6 +208,14 @@
             assert node.history.version >= self.versions[vm]
             self.versions[vm] = node.history.version
 
+    @invariant()
+    def records_never_go_back(self) -> None:
+        for vm, node in getattr(self, "nodes", {}).items():
+            for key, record in node.store.records.items():
+                stamp = (record.incarnation_start_ms, record.version)
+                assert stamp >= self.stamps.get((vm, key), (0, 0))
+                self.stamps[vm, key] = stamp
+
     @invariant()
     def a_version_is_one_document(self) -> None:
         for node in getattr(self, "nodes", {}).values():
@@ -226,12 +246,13 @@
     def teardown(self) -> None:
         if hasattr(self, "nodes"):
             self.converge()
+            self.kept.undo()
 
 
 SpreadMachine.TestCase.settings = settings(
     derandomize=True,
-    max_examples=150,
-    stateful_step_count=60,
+    max_examples=120,
+    stateful_step_count=80,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
