--- /dev/null
+++ b/tests/test_lookupd.py
@@ -0,0 +1,93 @@
+"""Look-up daemon: guards against answers that stop or go back when agents are gone."""
+
+import aiohttp
+import pytest
+
+from knapweeddock.agent import handlers, service
+from knapweeddock.lookupd import subscription
+from knapweeddock.objectstore import MemoryObjectStore
+from knapweeddock.proto.knapweed_pb2 import MemberRecord, MemberView, NodeStateMessage
+from tests.agents import (
+    DOCUMENT,
+    agent_settings,
+    report_entry,
+    running_agent,
+    running_lookup,
+    until,
+    write_change,
+)
+from tests.test_agent_evidence import listening
+
+
+@pytest.fixture(autouse=True)
+def short_intervals(monkeypatch):
+    monkeypatch.setattr(service, "COMPARE_INTERVAL_S", 0.1)
+    monkeypatch.setattr(handlers, "STREAM_HEARTBEAT_S", 0.1)
+    monkeypatch.setattr(subscription, "SILENCE_S", 1.0)
+    monkeypatch.setattr(subscription, "RETRY_S", 0.02)
+    monkeypatch.setattr(subscription, "MAX_RETRY_S", 0.05)
+
+
+async def get(url: str, **query: str) -> tuple[int, dict]:
+    async with aiohttp.ClientSession() as session, session.get(url, params=query) as response:
+        return response.status, await response.json()
+
+
+async def test_answers_come_from_another_agent_and_last_without_any():
+    store = MemoryObjectStore()
+    await write_change(store, DOCUMENT)
+    with listening() as address:
+        async with running_agent(agent_settings("vm-2"), store) as other:
+            await report_entry(other, public=address)
+            async with running_agent(agent_settings("vm-1", seeds=[other.address]), store) as own:
+                agents = [own.address, other.address]
+                async with running_lookup("vm-1", agents) as daemon:
+                    await until(lambda: daemon.lookup.state is not None)
+                    await until(lambda: "vm-2" in daemon.lookup.state.members)
+                    await until(lambda: daemon.lookup.state.config_version == 1)
+                    assert daemon.feed.connected == own.address
+                    await own.stop()
+                    await until(lambda: daemon.feed.connected == other.address)
+                    await other.stop()
+                    await until(lambda: daemon.feed.connected == "")
+                    url = f"http://{daemon.address}/v1/lookup"
+                    status, answer = await get(url, service="ringbook", client="10.1.0.1")
+                    assert status == 200
+                    assert [entry["vm"] for entry in answer["entries"]] == ["vm-2"]
+                    assert answer["entries"][0]["url"] == f"http://{address}"
+                    assert answer["config_version"] == 1
+
+
+async def test_errors_have_a_number_and_a_time_to_come_back():
+    async with running_lookup("vm-1", ["127.0.0.1:9"]) as daemon:
+        url = f"http://{daemon.address}/v1/lookup"
+        status, body = await get(url, service="ringbook", client="10.1.0.1")
+        assert (status, body["code"], body["name"]) == (503, 119, "NOT_READY")
+        assert body["retry_after_ms"] > 0
+        for query in ({"service": "a"}, {"client": "10.1.0.1"}, {"service": "", "client": "x"}):
+            status, body = await get(url, **query)
+            assert (status, body["code"]) == (400, 101)
+        metrics = f"http://{daemon.metrics_address}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(metrics) as response:
+            assert 'knapweed_lookups_total{code="119"' in await response.text()
+
+
+async def test_a_state_of_an_agent_that_is_behind_takes_no_configuration_back():
+    """An agent that just started may have an older version or none."""
+    async with running_lookup("vm-1", ["127.0.0.1:9"]) as daemon:
+        newer = NodeStateMessage(config_version=5, document=b'{"lookup": {"lifetime_ms": 7}}')
+        older = NodeStateMessage(config_version=0)
+        view = MemberView(member=MemberRecord(vm="vm-2", state="serving"))
+        older.members.append(view)
+        daemon.feed._take(newer, None, "one")
+        previous = daemon.feed._take(older, None, "other")
+        state = daemon.lookup.state
+        assert (state.config_version, state.config.lookup.lifetime_ms) == (5, 7)
+        assert set(state.members) == {"vm-2"}
+        partial = NodeStateMessage(
+            document_unchanged=True, members_partial=True, removed_members=["vm-2"]
+        )
+        partial.config_version = previous.config_version
+        daemon.feed._take(partial, previous, "other")
+        assert daemon.lookup.state.members == {}
+        assert daemon.lookup.state.config_version == 5
