--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -9,7 +9,7 @@
 import time
 from collections import Counter
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -127,7 +127,7 @@
 
     failure_at: float = 0.0
     leaving_at: float = 0.0
-    in_flight: dict = field(default_factory=dict)
+    cancelled: int = 0
 
 
 class World:
@@ -144,6 +144,7 @@
         self.load = None
         self.load_task = None
         self.incarnations = {}
+        self.drained = set()
         self.reset()
 
     def reset(self):
@@ -214,6 +215,8 @@
         await self.when(self.deployment.publish_vm_list)
         for place in self.deployment.servers:
             await self.when(lambda name=place.server: self.deployment.set_server_faults(name))
+        while self.drained:
+            await knapweed(self.deployment, "undrain", "--server", self.drained.pop())
         await self.deployment.wait_ready(HANG_LIMIT_S)
         await self.note_incarnations(restarted)
 
