--- a/bench/load.py
+++ b/bench/load.py
@@ -25,6 +25,7 @@
         rng: Source of randomness for arrivals.
         results: Calls that have ended.
         not_started: Calls that were due while too many were in flight.
+        lateness_s: By how much each call started after it was due.
     """
 
     callers: list[Caller]
@@ -32,6 +33,7 @@
     rng: random.Random
     results: list[CallResult] = field(default_factory=list)
     not_started: int = 0
+    lateness_s: list[float] = field(default_factory=list)
     running: set[asyncio.Task] = field(default_factory=set)
 
     async def run(self, rate_per_s: float, duration_s: float) -> None:
@@ -43,23 +45,25 @@
             if due > end:
                 break
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.begin(next(self.calls))
+            self.begin(next(self.calls), due)
         while self.running:
             await asyncio.wait(set(self.running))
 
-    def begin(self, call: Call) -> None:
-        """Start one call."""
+    def begin(self, call: Call, due: float) -> None:
+        """Start one call that was due at a monotonic time."""
         if len(self.running) >= MAX_OUTSTANDING:
             self.not_started += 1
             return
         caller = self.rng.choice(self.callers)
-        task = asyncio.create_task(self.finish(caller, call))
+        task = asyncio.create_task(self.finish(caller, call, due))
         self.running.add(task)
         task.add_done_callback(self.running.discard)
 
-    async def finish(self, caller: Caller, call: Call) -> None:
+    async def finish(self, caller: Caller, call: Call, due: float) -> None:
         """Carry one call out and keep its result."""
-        self.results.append(await caller.run(call))
+        late_s = max(0.0, time.monotonic() - due)
+        self.lateness_s.append(late_s)
+        self.results.append(await caller.run(call, late_s=late_s))
 
 
 def addresses_of(document: dict, count: int, rng: random.Random) -> list[str]:
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -41,10 +41,11 @@
     output: str
 
 
-async def knapweed(deployment: Deployment, *arguments: str) -> CommandResult:
-    """Run the operators' command against the deployment and print it."""
+async def knapweed(deployment: Deployment, *arguments: str, quiet: bool = False) -> CommandResult:
+    """Run the operators' command against the deployment and print it unless ``quiet``."""
     lookup = next(vm for vm in deployment.vms.values() if vm.lookup.running)
-    say(f"$ knapweed {' '.join(arguments)}")
+    if not quiet:
+        say(f"$ knapweed {' '.join(arguments)}")
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -59,8 +60,9 @@
     )
     output, _ = await asyncio.wait_for(child.communicate(), COMMAND_TIMEOUT_S)
     text = output.decode().strip()
-    for line in text.splitlines()[:12]:
-        say(f"  {line}")
+    if not quiet:
+        for line in text.splitlines()[:12]:
+            say(f"  {line}")
     return CommandResult(status=child.returncode or 0, output=text)
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -9,8 +9,10 @@
 import argparse
 import asyncio
 import hashlib
+import json
 import time
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 
 from aiohttp import web
 
@@ -50,15 +52,27 @@
     health: str | None = None
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True)
 class RunRecord:
-    """One request that a server started."""
+    """One request that a server started.
+
+    Attributes:
+        server: The server.
+        key: Idempotency key, empty without one.
+        method: HTTP method.
+        path: Path with query.
+        started_at: Wall time at which it took a slot.
+        finished_at: Wall time at which it left the slot, 0 while it runs.
+        entry: Entry VM to which the caller sent it, empty when not known.
+    """
 
     server: str
     key: str
     method: str
     path: str
     started_at: float
+    finished_at: float = 0.0
+    entry: str = ""
 
 
 @dataclass(kw_only=True)
@@ -75,6 +89,7 @@
         cancelled: Requests whose connection closed while they ran.
         faults: Faults that are switched on.
         cold_until: Monotonic time at which the server is warm.
+        delays: One-way delay in seconds from the domain of each entry VM.
     """
 
     name: str
@@ -87,6 +102,7 @@
     runs: list[RunRecord] = field(default_factory=list)
     faults: ServerFaults = field(default_factory=ServerFaults)
     cold_until: float = 0.0
+    delays: dict[str, float] = field(default_factory=dict)
 
 
 STATE = web.AppKey("state", ServerState)
@@ -150,13 +166,16 @@
     """Run one request in a slot, or shed it."""
     state = request.app[STATE]
     body = await request.read()
+    entry = request.headers.get("X-Caller-Entry", "")
+    # Both ways at once, before the slot is taken: the way back uses no slot either.
+    await asyncio.sleep(2 * state.delays.get(entry, 0.0))
     if state.faults.accept_only:
         await asyncio.sleep(3600)
     if state.faults.shed or state.in_flight >= state.slots:
         state.shed_count += 1
         headers = {"Backend-Not-Run": "1", "Retry-After": "1", **leaving_header(state)}
         return web.Response(status=503, headers=headers)
-    record_start(state, request)
+    record = record_start(state, request)
     try:
         await asyncio.sleep(service_time(state, request))
         return await answer(state, request, body)
@@ -165,21 +184,23 @@
         raise
     finally:
         state.in_flight -= 1
+        record.finished_at = time.time()
 
 
-def record_start(state: ServerState, request: web.Request) -> None:
+def record_start(state: ServerState, request: web.Request) -> RunRecord:
     """Take a slot and append the request to the log."""
     state.in_flight += 1
     state.peak = max(state.peak, state.in_flight)
-    state.runs.append(
-        RunRecord(
-            server=state.name,
-            key=request.headers.get("Idempotency-Key", ""),
-            method=request.method,
-            path=request.path_qs,
-            started_at=time.time(),
-        )
+    record = RunRecord(
+        server=state.name,
+        key=request.headers.get("Idempotency-Key", ""),
+        method=request.method,
+        path=request.path_qs,
+        started_at=time.time(),
+        entry=request.headers.get("X-Caller-Entry", ""),
     )
+    state.runs.append(record)
+    return record
 
 
 def service_time(state: ServerState, request: web.Request) -> float:
@@ -233,11 +254,15 @@
     return runner
 
 
-async def serve_all(servers: list[str], slots: int, service_ms: float) -> None:
+async def serve_all(
+    servers: list[str], slots: int, service_ms: float, delays: dict[str, dict[str, float]]
+) -> None:
     """Serve all ``name=port`` pairs until the process is stopped."""
     for item in servers:
         name, _, port = item.partition("=")
-        state = ServerState(name=name, slots=slots, service_s=service_ms / 1000)
+        state = ServerState(
+            name=name, slots=slots, service_s=service_ms / 1000, delays=delays.get(name, {})
+        )
         await start_server(state, int(port))
     await asyncio.Event().wait()
 
@@ -248,8 +273,10 @@
     parser.add_argument("--server", action="append", required=True, metavar="NAME=PORT")
     parser.add_argument("--slots", type=int, default=DEFAULT_SLOTS)
     parser.add_argument("--service-ms", type=float, default=DEFAULT_SERVICE_S * 1000)
+    parser.add_argument("--delays", type=Path, metavar="FILE", help="JSON: server, VM, seconds")
     arguments = parser.parse_args()
-    asyncio.run(serve_all(arguments.server, arguments.slots, arguments.service_ms))
+    delays = json.loads(arguments.delays.read_text()) if arguments.delays else {}
+    asyncio.run(serve_all(arguments.server, arguments.slots, arguments.service_ms, delays))
 
 
 if __name__ == "__main__":
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -172,10 +172,16 @@
         until = time.monotonic() + answer["lifetime_ms"] / 1000
         return CachedLookup(entries=entries, until=until)
 
-    async def run(self, call: Call) -> CallResult:
-        """Carry a call out and return how it went."""
-        started = time.monotonic()
-        started_at = time.time()
+    async def run(self, call: Call, *, late_s: float = 0.0) -> CallResult:
+        """Carry a call out and return how it went.
+
+        Args:
+            call: What to do.
+            late_s: Time that has passed since the intended start. It counts as
+                latency, so that a slow load generator does not hide waits.
+        """
+        started = time.monotonic() - late_s
+        started_at = time.time() - late_s
         flow = CallFlow(caller=self, call=call, deadline=started + call.deadline_s)
         outcome = await flow.run()
         return CallResult(
@@ -297,6 +303,7 @@
             "Host": self.call.host,
             "Knapweed-Deadline-Ms": str(int(remaining * 1000)),
             "X-Caller-Request": self.key,
+            "X-Caller-Entry": entry.vm,
         }
         if not self.call.idempotent:
             headers["Idempotency-Key"] = self.key
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from knapweeddock.model import decode_config
 from standins.processes import ManagedProcess, PortAllocator
 
 HOST = "127.0.0.1"
@@ -71,6 +72,9 @@
         document: The merged configuration that the servers are taken from.
         vms_per_domain: Entry VMs in each failure domain.
         service_ms: Time that a backend server takes for a request.
+        with_delays: Whether servers add the delay between the failure domains of
+            the configuration; loopback alone has none.
+        entry_module: Module that is run as the entry process.
         ports: Source of free ports.
     """
 
@@ -79,6 +83,8 @@
     document: dict
     vms_per_domain: int = 2
     service_ms: float = 20.0
+    with_delays: bool = False
+    entry_module: str = "knapweeddock.entry"
     ports: PortAllocator = field(default_factory=PortAllocator)
     platform: ManagedProcess | None = None
     platform_port: int = 0
@@ -107,8 +113,8 @@
             "platform", ["-m", "standins.platform", "--port", str(self.platform_port)]
         )
         self.place_servers()
-        self.place_backends()
         self.place_vms()
+        self.place_backends()
 
     def process(self, name: str, arguments: list[str]) -> ManagedProcess:
         """Describe a process whose log is named after it."""
@@ -137,14 +143,29 @@
 
     def place_backends(self) -> None:
         """Spread the servers over a few processes."""
+        delays = self.root / "delays.json"
+        delays.write_text(json.dumps(self.delays() if self.with_delays else {}))
         for start in range(0, len(self.servers), SERVERS_PER_PROCESS):
             part = self.servers[start : start + SERVERS_PER_PROCESS]
             arguments = ["-m", "standins.backend", "--service-ms", str(self.service_ms)]
+            arguments += ["--delays", str(delays)]
             for place in part:
                 arguments += ["--server", f"{place.server}={place.port}"]
             number = start // SERVERS_PER_PROCESS
             self.backends.append(self.process(f"backend-{number}", arguments))
 
+    def delays(self) -> dict[str, dict[str, float]]:
+        """Return the one-way delay in seconds from each VM's domain to each server."""
+        config = decode_config(self.document)
+        return {
+            place.server: {
+                vm.vm: config.delay_ms(vm.failure_domain, place.failure_domain) / 1000
+                for vm in self.vms.values()
+                if vm.failure_domain != place.failure_domain
+            }
+            for place in self.servers
+        }
+
     def failure_domains(self) -> list[str]:
         """Return the failure domains in the order of the configuration."""
         regions = self.document["regions"].values()
@@ -186,7 +207,7 @@
             lookup_port=lookup_port,
             public_port=public_port,
             agent=self.daemon(vm, "agent", "knapweeddock.agent", agent),
-            entry=self.daemon(vm, "entry", "knapweeddock.entry", entry),
+            entry=self.daemon(vm, "entry", self.entry_module, entry),
             lookup=self.daemon(vm, "lookup", "knapweeddock.lookupd", lookup),
         )
         return self.vms[vm]
