Measure faults under load and a round robin baseline beside the product

Servers are grouped by failure domain into processes and write their log when a region is ended, so that the comparison of answers with what ran stays complete.

--- a/knapweeddock/entry/__main__.py
+++ b/knapweeddock/entry/__main__.py
@@ -19,6 +19,9 @@
 FAILED_STATUS = 1
 """Exit status of a process that crashed or that its peers recorded as gone."""
 
+SERVICE = EntryService
+"""Service that the process runs; the load tool puts its baseline here."""
+
 app = cyclopts.App(name="knapweed-entry", help="Take callers' requests for one VM.")
 
 
@@ -44,7 +47,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    service = EntryService(settings=settings)
+    service = SERVICE(settings=settings)
     try:
         await service.start()
     except OSError as error:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -10,6 +10,8 @@
 import asyncio
 import hashlib
 import json
+import os
+import signal
 import time
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -38,6 +40,7 @@
         cold_factor: Slow-down while cold.
         stale_load: Value that the load report repeats, None for the true one.
         health: Value that the health report repeats, None for the true one.
+        silent_reports: Whether health and load reports are never answered.
     """
 
     draining: bool = False
@@ -50,6 +53,7 @@
     cold_factor: float = 4.0
     stale_load: int | None = None
     health: str | None = None
+    silent_reports: bool = False
 
 
 @dataclass(kw_only=True)
@@ -123,6 +127,8 @@
 async def health(request: web.Request) -> web.Response:
     """Answer the health report."""
     state = request.app[STATE]
+    if state.faults.silent_reports:
+        await asyncio.sleep(3600)
     status = "ok"
     if time.monotonic() < state.cold_until:
         status = "cold"
@@ -134,6 +140,8 @@
 async def load(request: web.Request) -> web.Response:
     """Answer the load report."""
     state = request.app[STATE]
+    if state.faults.silent_reports:
+        await asyncio.sleep(3600)
     reported = state.in_flight if state.faults.stale_load is None else state.faults.stale_load
     return web.json_response({"in_flight": reported, "slots": state.slots, "at": time.time()})
 
@@ -148,18 +156,20 @@
 
 async def get_log(request: web.Request) -> web.Response:
     """Answer what the server ran and its counters."""
-    state = request.app[STATE]
-    return web.json_response(
-        {
-            "server": state.name,
-            "slots": state.slots,
-            "peak": state.peak,
-            "in_flight": state.in_flight,
-            "shed": state.shed_count,
-            "cancelled": state.cancelled,
-            "runs": [asdict(run) for run in state.runs],
-        }
-    )
+    return web.json_response(log_of(request.app[STATE]))
+
+
+def log_of(state: ServerState) -> dict:
+    """Return what a server ran and its counters as a JSON value."""
+    return {
+        "server": state.name,
+        "slots": state.slots,
+        "peak": state.peak,
+        "in_flight": state.in_flight,
+        "shed": state.shed_count,
+        "cancelled": state.cancelled,
+        "runs": [asdict(run) for run in state.runs],
+    }
 
 
 async def serve(request: web.Request) -> web.StreamResponse:
@@ -254,15 +264,30 @@
     return runner
 
 
+def end_at_once(states: list[ServerState], final_log: Path) -> None:
+    """Write the logs and end the process as a crash would: no connection is shut down."""
+    final_log.write_text(json.dumps([log_of(state) for state in states]))
+    os._exit(1)
+
+
 async def serve_all(
-    servers: list[str], slots: int, service_ms: float, delays: dict[str, dict[str, float]]
+    servers: list[str],
+    slots: int,
+    service_ms: float,
+    delays: dict[str, dict[str, float]],
+    final_log: Path | None,
 ) -> None:
     """Serve all ``name=port`` pairs until the process is stopped."""
+    states = []
+    if final_log is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, end_at_once, states, final_log)
     for item in servers:
         name, _, port = item.partition("=")
         state = ServerState(
             name=name, slots=slots, service_s=service_ms / 1000, delays=delays.get(name, {})
         )
+        states.append(state)
         await start_server(state, int(port))
     await asyncio.Event().wait()
 
@@ -274,9 +299,14 @@
     parser.add_argument("--slots", type=int, default=DEFAULT_SLOTS)
     parser.add_argument("--service-ms", type=float, default=DEFAULT_SERVICE_S * 1000)
     parser.add_argument("--delays", type=Path, metavar="FILE", help="JSON: server, VM, seconds")
+    parser.add_argument("--final-log", type=Path, metavar="FILE", help="log written on SIGTERM")
     arguments = parser.parse_args()
     delays = json.loads(arguments.delays.read_text()) if arguments.delays else {}
-    asyncio.run(serve_all(arguments.server, arguments.slots, arguments.service_ms, delays))
+    asyncio.run(
+        serve_all(
+            arguments.server, arguments.slots, arguments.service_ms, delays, arguments.final_log
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,7 +15,6 @@
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
-SERVERS_PER_PROCESS = 12
 
 
 @dataclass(kw_only=True)
@@ -142,17 +142,20 @@
         override.write_text(json.dumps({"sites": sites}, indent=1))
 
     def place_backends(self) -> None:
-        """Spread the servers over a few processes."""
+        """Describe a process for the servers of each failure domain."""
         delays = self.root / "delays.json"
         delays.write_text(json.dumps(self.delays() if self.with_delays else {}))
-        for start in range(0, len(self.servers), SERVERS_PER_PROCESS):
-            part = self.servers[start : start + SERVERS_PER_PROCESS]
+        for domain in self.failure_domains():
+            part = [place for place in self.servers if place.failure_domain == domain]
             arguments = ["-m", "standins.backend", "--service-ms", str(self.service_ms)]
-            arguments += ["--delays", str(delays)]
+            arguments += ["--delays", str(delays), "--final-log", str(self.final_log(domain))]
             for place in part:
                 arguments += ["--server", f"{place.server}={place.port}"]
-            number = start // SERVERS_PER_PROCESS
-            self.backends.append(self.process(f"backend-{number}", arguments))
+            self.backends.append(self.process(f"backend-{domain}", arguments))
+
+    def final_log(self, domain: str) -> Path:
+        """Return the file to which the servers of a domain write their log when they end."""
+        return self.root / f"backend-{domain}-final.json"
 
     def delays(self) -> dict[str, dict[str, float]]:
         """Return the one-way delay in seconds from each VM's domain to each server."""
@@ -261,10 +264,24 @@
         await post_json(f"{place.url}/standin/faults", faults)
 
     async def server_logs(self) -> list[dict]:
-        """Return the log of each backend server."""
-        urls = [f"{place.url}/standin/log" for place in self.servers]
+        """Return the log of each backend server, ended ones included."""
+        logs = []
         async with aiohttp.ClientSession() as session:
-            return [await get_json(session, url) for url in urls]
+            for place in self.servers:
+                final = self.final_log(place.failure_domain)
+                if final.exists():
+                    kept = json.loads(final.read_text())
+                    logs += [log for log in kept if log["server"] == place.server]
+                else:
+                    logs.append(await get_json(session, f"{place.url}/standin/log"))
+        return logs
+
+    def end_servers(self, domain: str) -> None:
+        """End the servers of a domain at once; their logs stay readable."""
+        for process in self.backends:
+            if process.name == f"backend-{domain}":
+                process.send(signal.SIGTERM)
+                process.wait()
 
     async def status(self, vm: str) -> dict | None:
         """Return what a VM's look-up process knows, or None without an answer."""
