--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the experiments: ``python -m bench [levels|faults|compare|summary] ...``.
+"""Runs the experiments: ``python -m bench EXPERIMENT ...``.
 
 Each run writes ``bench/results/<name>.json`` and a report beside it.
 """
@@ -6,11 +6,13 @@
 import argparse
 import asyncio
 import json
+import os
 import shlex
 import sys
 import tempfile
 from pathlib import Path
 
+from bench.added import measure_added
 from bench.compare import ENTRIES, compare_plan, comparison
 from bench.faults import FAULTS, fault_actions, fault_plan
 from bench.levels import level_actions, level_plan
@@ -36,13 +38,18 @@
         root.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(carry_out(plan, root, actions))
     record = make_record(result, command_line())
+    write_record(record, arguments)
+    print(write_report(record, RESULTS).read_text(), flush=True)
+    return record
+
+
+def write_record(record: dict, arguments: argparse.Namespace) -> None:
+    """Write a record to the results, and to the committed records when asked."""
     content = json.dumps(record, indent=1) + "\n"
-    (RESULTS / f"{plan.name}.json").write_text(content)
+    (RESULTS / f"{record['name']}.json").write_text(content)
     if arguments.commit:
         RECORDS.mkdir(exist_ok=True)
-        (RECORDS / f"{plan.name}.json").write_text(content)
-    print(write_report(record, RESULTS).read_text(), flush=True)
-    return record
+        (RECORDS / f"{record['name']}.json").write_text(content)
 
 
 def run_levels(arguments: argparse.Namespace) -> list[dict]:
@@ -76,6 +83,14 @@
     return records["knapweeddock"]
 
 
+def run_variant(arguments: argparse.Namespace) -> list[dict]:
+    """Run the load of ``compare`` once, for a variant of the code; ``--name`` names it."""
+    name = f"{arguments.name or arguments.entry}-{arguments.seed}"
+    entry = ENTRIES[arguments.entry]
+    plan = compare_plan(arguments.example, name, seed=arguments.seed, entry_module=entry)
+    return [measure(plan, [], arguments)]
+
+
 def run_summary(arguments: argparse.Namespace) -> list[dict]:
     """Compare records that exist: files of each entry or each variant, by name prefix."""
     groups = arguments.groups or [f"compare-{arguments.example}-{entry}" for entry in ENTRIES]
@@ -87,10 +102,23 @@
     return []
 
 
+def run_added(arguments: argparse.Namespace) -> list[dict]:
+    """Measure the latency that the proxy adds."""
+    RESULTS.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory(prefix="knapweeddock-bench-") as folder:
+        record = asyncio.run(measure_added(arguments.example, Path(folder)))
+    record |= {"command": command_line(), "load_average": list(os.getloadavg())}
+    write_record(record, arguments)
+    print(json.dumps(record, indent=1))
+    return []
+
+
 EXPERIMENTS = {
+    "added": run_added,
     "levels": run_levels,
     "faults": run_faults,
     "compare": run_compare,
+    "variant": run_variant,
     "summary": run_summary,
 }
 
--- a/bench/compare.py
+++ b/bench/compare.py
@@ -7,14 +7,14 @@
 from bench.worker import Phase
 
 WARM_S = 4.0
-LEVEL_S = 10.0
+LEVEL_S = 8.0
 GAP_S = 3.0
-LEVELS = (0.8, 1.2)
+LEVELS = (0.8, 1.2, 2.0)
 ENTRIES = {"knapweeddock": "knapweeddock.entry", "baseline": "bench.baseline"}
 
 
 def compare_plan(example: str, name: str, **options: object) -> RunPlan:
-    """Return a run below and above the capacity."""
+    """Return a run below, above and far above the capacity."""
     phases = [Phase(name="warm", level=0.5, start_at=0.0, duration_s=WARM_S)]
     start = WARM_S
     for level in LEVELS:
