--- a/bench/run.py
+++ b/bench/run.py
@@ -21,7 +21,6 @@
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 CALLER_DELAY_S = {"karoo-vaal": 0.008, "registry": 0.003}
-PLATFORM_START_S = 1.0
 LEAD_S = 1.5
 """Time that a load process needs to start before its first phase."""
 
@@ -146,7 +145,7 @@
     with all_stopped(deployment.processes):
         for process in [deployment.platform, *deployment.backends]:
             process.start()
-        await asyncio.sleep(PLATFORM_START_S)
+        await deployment.wait_standins()
         await deployment.publish_vm_list()
         for vm in deployment.vms.values():
             for process in vm.processes:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -43,7 +43,7 @@
     """Start the platform and servers, apply the configuration, start the VMs."""
     for process in [deployment.platform, *deployment.backends]:
         process.start()
-    await asyncio.sleep(1.0)
+    await deployment.wait_standins()
     await deployment.publish_vm_list()
     for vm in deployment.vms.values():
         for process in vm.processes:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -250,6 +250,18 @@
         for process in self.processes:
             process.start()
 
+    async def wait_standins(self, timeout: float = READY_TIMEOUT_S) -> None:
+        """Wait until the platform and every backend server accept connections.
+
+        Raises:
+            TimeoutError: One of them did not in time.
+        """
+        ports = [self.platform_port, *(place.port for place in self.servers)]
+        async with asyncio.timeout(timeout):
+            for port in ports:
+                while not await accepts(port):
+                    await asyncio.sleep(POLL_S)
+
     async def publish_vm_list(self, leaving: frozenset[str] = frozenset()) -> None:
         """Replace the platform's VM list."""
         await post_json(f"{self.platform_url}/standin/vms", self.vm_list(leaving))
@@ -318,6 +330,16 @@
         return serving >= set(self.vms)
 
 
+async def accepts(port: int) -> bool:
+    """Return whether something on loopback accepts connections at ``port``."""
+    try:
+        _, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def post_json(url: str, content: object) -> None:
     """Post a JSON value and check the status."""
     timeout = aiohttp.ClientTimeout(total=5)
