--- a/bench/compare.py
+++ b/bench/compare.py
@@ -38,6 +38,9 @@
         "p99 ms": everything["p99_ms"],
         "sends per call": found["sends_per_call"],
         "cores of entries": found["cores"].get("entries", 0.0),
+        "cancelled at servers % (run)": 100
+        * record["server_runs_cancelled"]
+        / max(1, record["server_runs"]),
         "cores of others": found["cores"].get("others", 0.0),
         "shed by servers (run)": broken["shed_by_servers"],
         "doubled (run)": broken["doubled"],
--- a/bench/operations.py
+++ b/bench/operations.py
@@ -80,7 +80,10 @@
     """Change the lifetime of look-up answers."""
     extra = deployment.config / "yy-bench-lookups.json"
     extra.write_text('{"lookup": {"lifetime_ms": 4000}}\n')
-    await measure_change(deployment, notes, "change", "apply", str(deployment.config))
+    started = time.monotonic()
+    command = ("apply", str(deployment.config), "--wait", f"{IN_FORCE_LIMIT_S:g}")
+    await measure_change(deployment, notes, "change", *command)
+    notes["change_command_s"] = round(time.monotonic() - started, 2)
 
 
 async def drain_server(deployment: Deployment, notes: dict[str, object]) -> None:
--- a/bench/record.py
+++ b/bench/record.py
@@ -95,6 +95,8 @@
             "servers_overrun": len(broken.overrun),
             "shed_by_servers": broken.refused_at_servers,
         },
+        "server_runs": sum(len(log["runs"]) for log in result.logs),
+        "server_runs_cancelled": sum(log["cancelled"] for log in result.logs),
         "uses": use_records(found_uses),
         "over_cap": [f"{use.kind} {use.what}" for use in found_uses if use.is_over],
         "drain": drain_times(result.notes, result.logs),
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -259,8 +259,7 @@
         ports = [self.platform_port, *(place.port for place in self.servers)]
         async with asyncio.timeout(timeout):
             for port in ports:
-                while not await accepts(port):
-                    await asyncio.sleep(POLL_S)
+                await wait_port(port)
 
     async def publish_vm_list(self, leaving: frozenset[str] = frozenset()) -> None:
         """Replace the platform's VM list."""
@@ -330,14 +329,16 @@
         return serving >= set(self.vms)
 
 
-async def accepts(port: int) -> bool:
-    """Return whether something on loopback accepts connections at ``port``."""
-    try:
-        _, writer = await asyncio.open_connection(HOST, port)
-    except OSError:
-        return False
-    writer.close()
-    return True
+async def wait_port(port: int) -> None:
+    """Wait until something on loopback accepts connections at ``port``."""
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(HOST, port)
+        except OSError:
+            await asyncio.sleep(POLL_S)
+        else:
+            writer.close()
+            return
 
 
 async def post_json(url: str, content: object) -> None:
