--- /dev/null
+++ b/tests/capacity_world.py
@@ -0,0 +1,93 @@
+"""The world of the capacity state machine: sites, entries and what is allowed."""
+
+import random
+from dataclasses import dataclass
+
+from knapweeddock.grants import Loan, Slot
+from knapweeddock.model import BackendServer, Config, Link, Region, Site
+from knapweeddock.slotcapacity import SlotCapacity
+from knapweeddock.state import MemberState
+
+DOMAINS = {"v1": "a1", "v2": "a1", "v3": "a1", "v4": "a2", "v5": "b1", "v6": "b1"}
+REGIONS = {"A": Region(failure_domains=["a1", "a2"]), "B": Region(failure_domains=["b1"])}
+REGION_OF = {"a1": "A", "a2": "A", "b1": "B"}
+SERVERS = {"sa1": ["m1", "m2", "m3"], "sa2": ["m4", "m5"], "sb1": ["m6", "m7", "m8"]}
+SITE_DOMAIN = {"sa1": "a1", "sa2": "a2", "sb1": "b1"}
+FIXED_CAP = 4
+"""Cap of the sites of region A. It does not change: the parts of a link cap
+follow the caps, and parts of sites in two domains cannot change at one time."""
+
+SERVER_NOTICE_S = 1.0
+"""Time until servers notice that an entry was killed and end its requests."""
+
+
+def first_config() -> Config:
+    sites = {
+        name: Site(
+            pool="p",
+            failure_domain=SITE_DOMAIN[name],
+            servers={server: BackendServer(address=server, slots=2) for server in servers},
+            cap=6 if name == "sb1" else FIXED_CAP,
+            shift_cap=3,
+            shift_start=1.0,
+        )
+        for name, servers in SERVERS.items()
+    }
+    links = {"A->B": Link(caps={"p": 2}), "B->A": Link(caps={"p": 3})}
+    return Config(regions=REGIONS, links=links, sites=sites)
+
+
+@dataclass
+class Use:
+    """One unit of capacity that somebody holds, as the oracle sees it."""
+
+    holder: str
+    site: str
+    origin: str
+    version: int
+    slot: Slot | None = None
+    loan: Loan | None = None
+    borrower: str | None = None
+    ends_at: float | None = None
+
+
+class Entry:
+    """One entry process with its own clock and its own, late, knowledge."""
+
+    def __init__(self, vm, incarnation, rate, time):
+        self.vm = vm
+        self.domain = DOMAINS[vm]
+        self.incarnation = incarnation
+        self.rate = rate
+        self.state = MemberState.JOINING
+        self.paused = False
+        self.known = {}
+        self.config = 0
+        self.capacity = SlotCapacity(
+            vm=vm,
+            incarnation=incarnation,
+            failure_domain=self.domain,
+            internal_address=vm,
+            now=self.now(time),
+            rng=random.Random(0),
+        )
+
+    def now(self, time):
+        return 500.0 + time * self.rate
+
+
+def allowed(config: Config, kind: str, name) -> int:
+    """Return what one configuration allows in concurrent requests."""
+    match kind:
+        case "site":
+            site = config.sites[name]
+            return min(site.cap, sum(server.slots for server in site.servers.values()))
+        case "server":
+            servers = {n: s for site in config.sites.values() for n, s in site.servers.items()}
+            return servers[name].slots if name in servers else 0
+        case "slot":
+            return 1
+        case "shift":
+            return config.sites[name].shift_cap
+        case _:
+            return config.links[name].caps["p"]
