Keep a known incarnation when the end of an unknown one is reported

A restarted agent may hear of an older incarnation's end from a peer that lags. Removing the newer one on that report would free slots in use.

--- a/knapweeddock/fleet.py
+++ b/knapweeddock/fleet.py
@@ -4,7 +4,7 @@
 domains are only grouped by domain, and only when a lender there is looked for.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from knapweeddock.grants import LenderCandidate
 from knapweeddock.ids import FailureDomainId, PoolId, RegionId, ServerId, SiteId, VmId
@@ -130,20 +130,21 @@
         self.cache = {}
 
     def candidates(
-        self, pool: PoolId, index: ConfigIndex, owners: Mapping[SiteId, set[VmId]]
+        self, pool: PoolId, index: ConfigIndex, owners_of: Callable[[SiteId], set[VmId] | None]
     ) -> list[LenderCandidate]:
         """Return all possible lenders of ``pool``, the best one first.
 
         Args:
             pool: The pool.
             index: The configuration.
-            owners: VMs of the own domain that own slots, by local site.
+            owners_of: Returns the VMs that own slots of a local site, and None
+                for a site of another domain.
         """
         known = self.cache.get(pool)
         if known is None:
             known = []
             for site_id in index.open_sites(pool):
-                known += self._of_site(site_id, index, owners.get(site_id))
+                known += self._of_site(site_id, index, owners_of(site_id))
             self.cache[pool] = known
         return known
 
--- a/knapweeddock/handover.py
+++ b/knapweeddock/handover.py
@@ -256,25 +256,31 @@
     def _take(self, vm: VmId, member: Member, now: float) -> None:
         known = self.current.get(vm)
         self.absent_since.pop(vm, None)
+        if (vm, member.incarnation) in self.gone:
+            return
+        gone = member.down or member.state is MemberState.LEFT
         if known is not None and known.incarnation != member.incarnation:
-            if (vm, member.incarnation) in self.gone:
+            if gone:
+                # A restarted agent may show the end of an older incarnation
+                # that this entry never saw; the known one may well run.
                 return
-            self._note_gone(vm, known.incarnation, now, evidence=True)
-        if member.down or member.state is MemberState.LEFT:
-            self._note_gone(vm, member.incarnation, now, evidence=member.down)
-        elif (vm, member.incarnation) not in self.gone:
+            self._wait_for_takeover(now)
+        if not gone:
             self.current[vm] = member
+            return
+        self._note_gone(vm, member.incarnation)
+        if member.down:
+            self._wait_for_takeover(now)
 
-    def _note_gone(self, vm: VmId, incarnation: Incarnation, now: float, *, evidence: bool) -> None:
+    def _wait_for_takeover(self, now: float) -> None:
+        self.takeover_at = max(self.takeover_at, now + self.delay)
+
+    def _note_gone(self, vm: VmId, incarnation: Incarnation) -> None:
         """Remove an incarnation for good; an older record cannot bring it back."""
         self.current.pop(vm, None)
-        if (vm, incarnation) in self.gone:
-            return
         self.gone[vm, incarnation] = None
         if len(self.gone) > GONE_MAX:
             del self.gone[next(iter(self.gone))]
-        if evidence:
-            self.takeover_at = max(self.takeover_at, now + self.delay)
 
     def _drop_absent(self, listed: Mapping[VmId, Member], now: float) -> None:
         """Drop members whose records have been absent for long.
@@ -293,7 +299,8 @@
                 self.absent_since[vm] = now
             elif now - since >= ABSENCE_TERM_S:
                 self.absent_since.pop(vm)
-                self._note_gone(vm, self.current[vm].incarnation, now, evidence=True)
+                self._note_gone(vm, self.current[vm].incarnation)
+                self._wait_for_takeover(now)
 
     def tokens(self, site: SiteId) -> dict[VmId, ViewId | None]:
         """Return what the members report about ``site``."""
--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -242,17 +242,17 @@
         self._advance(now)
         if self.index is None:
             return []
-        owners = {name: self._owners(local) for name, local in self.sites.items()}
         found = []
-        for candidate in self.directory.candidates(pool, self.index, owners):
+        for candidate in self.directory.candidates(pool, self.index, self._owners_of):
             if not self.borrower.is_refusing(candidate.vm, candidate.site, now):
                 found.append(candidate)
                 if len(found) == LENDERS_MAX:
                     break
         return found
 
-    def _owners(self, local: LocalSite) -> set[VmId]:
-        return set(local.handover.view.owners.values())
+    def _owners_of(self, site: SiteId) -> set[VmId] | None:
+        local = self.sites.get(site)
+        return set(local.handover.view.owners.values()) if local else None
 
     def borrowed(self, grant: Grant, asked_at: float, now: float) -> None:
         """Take in a grant that was asked for at ``asked_at``."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -55,7 +55,7 @@
     directory = LenderDirectory(vm="self", domain="home")
     directory.update(NodeState(config_version=1, config=Config(), members={m.vm: m for m in found}))
     owners = {"s-home": {"owner", "self"}}
-    names = [lender.vm for lender in directory.candidates("p", make_index(), owners)]
+    names = [lender.vm for lender in directory.candidates("p", make_index(), owners.get)]
     assert names == ["owner", "lively", "quiet"]
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -161,6 +161,13 @@
     assert "v2" not in members.current
 
 
+def test_end_of_an_unknown_incarnation_does_not_remove_the_known_one():
+    """A restarted agent may learn of an older incarnation's end first."""
+    members = make_members(make_member("v1"), make_member("v2", incarnation="newer"))
+    members.update({"v2": make_member("v2", incarnation="older", down=True)}, 101.0)
+    assert members.current["v2"].incarnation == "newer"
+
+
 def test_suspected_or_missing_member_stays():
     """Silence is not evidence: a restarted agent knows nobody for a while."""
     members = make_members(make_member("v1"), make_member("v2"))
