--- a/tests/capacity_world.py
+++ b/tests/capacity_world.py
@@ -1,12 +1,13 @@
 """The world of the capacity state machine: sites, entries and what is allowed."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass
 
-from knapweeddock.grants import Loan, Slot
+from knapweeddock.grants import Loan, ServerHealth, ServerReport, Slot
 from knapweeddock.model import BackendServer, Config, Link, Region, Site
 from knapweeddock.slotcapacity import SlotCapacity
-from knapweeddock.state import MemberState
+from knapweeddock.state import Member, MemberState, NodeState
 
 DOMAINS = {"v1": "a1", "v2": "a1", "v3": "a1", "v4": "a2", "v5": "b1", "v6": "b1"}
 REGIONS = {"A": Region(failure_domains=["a1", "a2"]), "B": Region(failure_domains=["b1"])}
@@ -91,3 +92,95 @@
             return config.sites[name].shift_cap
         case _:
             return config.links[name].caps["p"]
+
+
+def make_member(vm, domain, incarnation="i1", state=MemberState.SERVING, **more):
+    return Member(
+        vm=vm,
+        failure_domain=domain,
+        incarnation=incarnation,
+        state=state,
+        public_address=vm,
+        internal_address=vm,
+        lending_address=vm,
+        **more,
+    )
+
+
+class World:
+    """What agents, servers and the network do, and the oracle."""
+
+    def __init__(self):
+        super().__init__()
+        self.time = 0.0
+        self.number = 0
+        self.configs = [first_config()]
+        self.records = defaultdict(list)
+        self.entries = {}
+        self.uses = []
+        self.grant_versions = {}
+        self.requests = []
+        self.replies = []
+        self.rates = {}
+
+    def create(self, vm):
+        self.number += 1
+        entry = Entry(vm, f"i{self.number}", self.rates[vm], self.time)
+        entry.config = len(self.configs) - 1
+        self.entries[vm] = entry
+        self.publish(entry)
+
+    def publish(self, entry):
+        member = make_member(
+            entry.vm,
+            entry.domain,
+            incarnation=entry.incarnation,
+            state=entry.state,
+            settled_views=entry.capacity.settled_views(),
+        )
+        self.records[entry.vm].append(member)
+        entry.known[entry.vm] = len(self.records[entry.vm]) - 1
+
+    def deliver(self, entry):
+        members = {vm: self.records[vm][version] for vm, version in entry.known.items()}
+        state = NodeState(
+            config_version=entry.config, config=self.configs[entry.config], members=members
+        )
+        now = entry.now(self.time)
+        entry.capacity.update(state, now)
+        for site in state.config.sites.values():
+            for server in site.servers:
+                if server not in entry.capacity.health.records:
+                    continue
+                report = ServerReport(
+                    server=server, health=ServerHealth.OK, in_flight=None, measured_at=now
+                )
+                entry.capacity.observe(report, now)
+
+    def running(self, vm):
+        entry = self.entries.get(vm)
+        return entry if entry is not None and not entry.paused else None
+
+    def peers(self, domain):
+        return [e for e in self.entries.values() if e.domain == domain]
+
+    def limit(self, uses, of):
+        """Return the highest limit of the configurations that the uses began under."""
+        return max(of(self.configs[use.version]) for use in uses)
+
+    def check(self):
+        groups = defaultdict(list)
+        for use in self.uses:
+            home = SITE_DOMAIN[use.site]
+            groups["site", use.site].append(use)
+            if use.slot is not None:
+                groups["server", use.slot.server].append(use)
+                groups["slot", (use.slot.server, use.slot.index)].append(use)
+            if use.origin != home:
+                groups["shift", use.site].append(use)
+            if REGION_OF[use.origin] != REGION_OF[home]:
+                link = f"{REGION_OF[use.origin]}->{REGION_OF[home]}"
+                groups["link", link].append(use)
+        for (kind, name), uses in groups.items():
+            limit = self.limit(uses, lambda config, k=kind, n=name: allowed(config, k, n))
+            assert len(uses) <= limit, f"{kind} {name}: {len(uses)} in use, limit {limit}: {uses}"
