--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -28,8 +28,7 @@
     counts. Servers that are set aside are used only when all servers are.
 
     Args:
-        free: Free slots by server, in rank order; a server without free slots
-            is listed with none.
+        free: Free slots by server, in rank order; may be none for a server.
         records: Health by server.
         in_flight: Own requests by server.
         now: Monotonic time.
@@ -52,10 +51,8 @@
             load = reported if reported > load else load
         if load > best_load:
             continue
-        if within is None and record.opened == ALL_SLOTS:
-            slot = slots[end]
-        else:
-            slot = _pick(slots, record, now, within, lowest)
+        warm = within is None and record.opened == ALL_SLOTS
+        slot = slots[end] if warm else _pick(slots, record, now, within, lowest)
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
             best = slot
             best_load = load
--- a/knapweeddock/fleet.py
+++ b/knapweeddock/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from knapweeddock.grants import LenderCandidate
-from knapweeddock.ids import FailureDomainId, PoolId, RegionId, ServerId, SiteId, VmId
+from knapweeddock.ids import FailureDomainId, PoolId, RegionId, SiteId, VmId
 from knapweeddock.model import Config, Site
 from knapweeddock.rendezvous import weighted_order
 from knapweeddock.slots import RankLimits, link_caps_into, rank_limits, site_cap
@@ -27,6 +27,7 @@
         domain: Own failure domain.
         local_sites: Sites of the own domain.
         limits: Limits on remote use of the local sites.
+        local_servers: Servers of the local sites.
         drained_vms: VMs that are drained.
         drained_servers: Servers that are drained.
     """
@@ -50,6 +51,9 @@
             if site.failure_domain == domain:
                 self.local_sites[site_id] = site
         self.limits = {name: self._limits_of(name) for name in self.local_sites}
+        self.local_servers = frozenset(
+            name for site in self.local_sites.values() for name in site.servers
+        )
         self.orders: dict[PoolId, list[SiteId]] = {}
 
     def _limits_of(self, site_id: SiteId) -> RankLimits:
@@ -86,10 +90,6 @@
             return -1.0
         return self.config.delay_ms(self.domain, target)
 
-    def local_servers(self) -> set[ServerId]:
-        """Return the servers of the own domain's sites."""
-        return {name for site in self.local_sites.values() for name in site.servers}
-
 
 def _chosen(flags: Mapping) -> set:
     return {name for name, value in flags.items() if value}
--- a/knapweeddock/health.py
+++ b/knapweeddock/health.py
@@ -1,7 +1,6 @@
 """What this entry knows of each backend server: failures, warm-up, leaving, load."""
 
 import random
-from collections.abc import Iterable
 
 from knapweeddock.grants import ServerHealth, ServerReport, SlotOutcome
 from knapweeddock.ids import ServerId
@@ -112,13 +111,16 @@
         self.rng = rng
         self.started_at = now
         self.records: dict[ServerId, ServerRecord] = {}
+        self.basis: tuple[frozenset[ServerId], frozenset[ServerId]] | None = None
 
-    def configure(self, servers: Iterable[ServerId], leaving: frozenset[ServerId]) -> None:
+    def configure(self, servers: frozenset[ServerId], leaving: frozenset[ServerId]) -> None:
         """Take the servers of the configuration and those that are leaving."""
-        names = set(servers)
-        for name in names - self.records.keys():
+        if self.basis == (servers, leaving):
+            return
+        self.basis = (servers, leaving)
+        for name in servers - self.records.keys():
             self.records[name] = ServerRecord()
-        for name in self.records.keys() - names:
+        for name in self.records.keys() - servers:
             del self.records[name]
         for name, record in self.records.items():
             record.set_leaving(listed=name in leaving, left_at=record.left_at)
--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -107,7 +107,7 @@
             self.config_version = state.config_version
             self.index = ConfigIndex(state.config, self.failure_domain)
         leaving = state.leaving_servers | self.index.drained_servers
-        self.health.configure(self.index.local_servers(), leaving)
+        self.health.configure(self.index.local_servers, leaving)
         self._configure_sites(now)
         self._advance_sites(now)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -11,7 +11,7 @@
 @pytest.fixture
 def book():
     made = HealthBook(rng=random.Random(1), now=0.0)
-    made.configure(["s"], frozenset())
+    made.configure(frozenset({"s"}), frozenset())
     return made
 
 
