--- a/knapweeddock/lookup.py
+++ b/knapweeddock/lookup.py
@@ -1,13 +1,17 @@
 """Answers look-ups: which entry VMs a client should use, the best first."""
 
+import math
 from dataclasses import dataclass, field
+from operator import itemgetter
+
+import xxhash
 
 from knapweeddock.blocks import BlockMatch, BlockTable, parse_address
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import KnapweedError
 from knapweeddock.ids import FailureDomainId, RegionId, ServiceId, Version, VmId
 from knapweeddock.model import DEFAULT_LINK_DELAY_MS, Config
-from knapweeddock.rendezvous import hash_parts, weighted_order
+from knapweeddock.rendezvous import HASH_RANGE, SEPARATOR, hash_parts
 from knapweeddock.state import Member, NodeState
 
 CLIENT_GROUPS = 1024
@@ -27,6 +31,9 @@
 NEAREST_ENTRIES = 2
 """Entries of the nearest domain in an answer."""
 
+MAX_ORDER = 16
+"""Entries of a domain that are kept in order; more than an answer names."""
+
 
 class LookupRefused(KnapweedError):
     """A look-up cannot be answered."""
@@ -64,22 +71,44 @@
     """The entries of one failure domain that may be named.
 
     Attributes:
-        weights: Weight of each entry that is not suspected.
-        suspected: Entries that are suspected, sorted.
-        orders: Order of the entries by client group.
+        named: The entries that are not suspected.
+        weights: Their weights.
+        suspected: Entries that are suspected, sorted by VM.
+        orders: The best entries by client group.
     """
 
+    named: dict[VmId, NamedEntry] = field(default_factory=dict)
     weights: dict[VmId, float] = field(default_factory=dict)
-    suspected: list[VmId] = field(default_factory=list)
-    orders: dict[int, list[VmId]] = field(default_factory=dict)
+    suspected: list[NamedEntry] = field(default_factory=list)
+    orders: dict[int, list[NamedEntry]] = field(default_factory=dict)
+    _scored: list[tuple[bytes, float, NamedEntry]] = field(default_factory=list)
 
-    def order(self, group: int) -> list[VmId]:
+    def order(self, group: int) -> list[NamedEntry]:
+        """Return the first ``MAX_ORDER`` entries in the order of the group's clients."""
         order = self.orders.get(group)
         if order is None:
-            order = weighted_order(str(group), self.weights)
+            order = self._compute(f"{group}{SEPARATOR}".encode())
             self.orders[group] = order
         return order
 
+    def _compute(self, prefix: bytes) -> list[NamedEntry]:
+        """Compute what ``rendezvous.weighted_order`` would, without its encoding of names.
+
+        With 59 members this is most of the time of a look-up whose order is
+        not kept yet.
+        """
+        if len(self._scored) != len(self.named):
+            self._scored = [
+                (vm.encode(), 1.0 / self.weights[vm], entry) for vm, entry in self.named.items()
+            ]
+        digest = xxhash.xxh64_intdigest
+        scores = [
+            (-math.log((digest(prefix + name) + 0.5) / HASH_RANGE) * inverse, entry.vm, entry)
+            for name, inverse, entry in self._scored
+        ]
+        scores.sort(key=itemgetter(0, 1))
+        return [entry for _, _, entry in scores[:MAX_ORDER]]
+
 
 class Geography:
     """Regions and delays of a configuration, prepared for look-ups."""
@@ -134,6 +163,7 @@
         self.state: NodeState | None = None
         self.blocks = BlockTable()
         self._geography = Geography(Config())
+        self._members_of: dict[FailureDomainId, dict[VmId, Member]] = {}
         self._domains: dict[FailureDomainId, _Domain] = {}
         self._near: dict[FailureDomainId, list[FailureDomainId]] = {}
 
@@ -145,49 +175,66 @@
                 stays in use.
         """
         previous = self.state
+        before = previous.members if previous else {}
+        changed = self._index_changes(before, state.members)
         if previous is None or state.config is not previous.config:
-            before = previous.config.client_blocks if previous else {}
-            if state.config.client_blocks != before:
-                self.blocks = BlockTable(state.config.client_blocks.items())
-            self._geography = Geography(state.config)
-            changed = {member.failure_domain for member in state.members.values()}
-            changed |= set(self._domains)
-            self._near.clear()
-        else:
-            changed = _changed_domains(previous.members, state.members)
+            self._use_config(state.config, previous.config if previous else Config())
+            changed = set(self._members_of)
         self.state = state
-        if changed:
-            self._rebuild(changed, state)
+        for name in changed:
+            self._rebuild(name, state.config)
+
+    def _use_config(self, config: Config, previous: Config) -> None:
+        if config.client_blocks != previous.client_blocks:
+            self.blocks = BlockTable(config.client_blocks.items())
+        self._geography = Geography(config)
+        self._near.clear()
+
+    def _index_changes(
+        self, before: dict[VmId, Member], after: dict[VmId, Member]
+    ) -> set[FailureDomainId]:
+        """Update the members by domain and return the domains that changed."""
+        changed = set()
+        added = 0
+        for vm, member in after.items():
+            held = before.get(vm)
+            if held is member:
+                continue
+            added += held is None
+            if held is not None and held.failure_domain != member.failure_domain:
+                changed.add(held.failure_domain)
+                del self._members_of[held.failure_domain][vm]
+            changed.add(member.failure_domain)
+            self._members_of.setdefault(member.failure_domain, {})[vm] = member
+        if len(before) + added == len(after):
+            return changed
+        for vm in before.keys() - after.keys():
+            domain = before[vm].failure_domain
+            changed.add(domain)
+            del self._members_of[domain][vm]
+        return changed
 
     def use_blocks(self, blocks: BlockTable) -> None:
         """Replace the table of client blocks."""
         self.blocks = blocks
 
-    def _rebuild(self, changed: set[FailureDomainId], state: NodeState) -> None:
-        fresh = {domain: _Domain() for domain in changed}
-        for member in state.members.values():
-            domain = fresh.get(member.failure_domain)
-            if domain is not None and self._may_name(member, state.config):
-                if member.suspected:
-                    domain.suspected.append(member.vm)
-                else:
-                    weight = max(MIN_WEIGHT, 1.0 - round(member.load, LOAD_DIGITS))
-                    domain.weights[member.vm] = weight
-        for name, domain in fresh.items():
-            self._replace(name, domain)
-
-    def _replace(self, name: FailureDomainId, domain: _Domain) -> None:
-        held = self._domains.get(name)
-        domain.suspected.sort()
-        is_empty = not domain.weights and not domain.suspected
+    def _rebuild(self, name: FailureDomainId, config: Config) -> None:
+        domain = _Domain()
+        for vm, member in sorted(self._members_of.get(name, {}).items()):
+            if not self._may_name(member, config):
+                continue
+            if member.suspected:
+                domain.suspected.append(_named(member))
+            else:
+                domain.named[vm] = _named(member)
+                domain.weights[vm] = max(MIN_WEIGHT, 1.0 - round(member.load, LOAD_DIGITS))
+        held = self._domains.pop(name, None)
+        is_empty = not domain.named and not domain.suspected
+        if (held is None) != is_empty:
+            self._near.clear()
         if is_empty:
-            if held is not None:
-                del self._domains[name]
-                self._near.clear()
             return
-        if held is None:
-            self._near.clear()
-        elif held.weights == domain.weights:
+        if held is not None and held.weights == domain.weights and held.named == domain.named:
             domain.orders = held.orders
         self._domains[name] = domain
 
@@ -223,12 +270,12 @@
             raise LookupRefused("no entry serves", code=ResultCode.NO_SITE)
         return LookupAnswer(
             service=ServiceId(service),
-            entries=[_named(state.members[vm]) for vm in chosen],
+            entries=chosen,
             lifetime_ms=state.config.lookup.lifetime_ms,
             config_version=state.config_version,
         )
 
-    def _choose(self, match: BlockMatch, count: int) -> list[VmId]:
+    def _choose(self, match: BlockMatch, count: int) -> list[NamedEntry]:
         group = hash_parts(str(match.key)) % CLIENT_GROUPS
         home = self._geography.home_of(match.location, group) or self.failure_domain
         near = self._nearest_first(home)
@@ -250,9 +297,9 @@
             self._near[home] = near
         return near
 
-    def _pattern(self, near: list[FailureDomainId], group: int) -> list[VmId]:
+    def _pattern(self, near: list[FailureDomainId], group: int) -> list[NamedEntry]:
         """Return two entries of the nearest domain, one of its region, one of another."""
-        chosen: list[VmId] = []
+        chosen: list[NamedEntry] = []
         region: RegionId | None = None
         needs_neighbour = True
         needs_other = True
@@ -275,34 +322,20 @@
         return chosen
 
     def _fill(
-        self, chosen: list[VmId], near: list[FailureDomainId], group: int, count: int
+        self, chosen: list[NamedEntry], near: list[FailureDomainId], group: int, count: int
     ) -> None:
         """Add the next entries by delay; suspected ones come after all others."""
         for domain in near:
-            for vm in self._domains[domain].order(group):
+            for entry in self._domains[domain].order(group):
                 if len(chosen) >= count:
                     return
-                if vm not in chosen:
-                    chosen.append(vm)
+                if entry not in chosen:
+                    chosen.append(entry)
         for domain in near:
-            for vm in self._domains[domain].suspected:
+            for entry in self._domains[domain].suspected:
                 if len(chosen) >= count:
                     return
-                chosen.append(vm)
-
-
-def _changed_domains(before: dict[VmId, Member], after: dict[VmId, Member]) -> set[FailureDomainId]:
-    changed = set()
-    for vm, member in after.items():
-        held = before.get(vm)
-        if held is not member:
-            changed.add(member.failure_domain)
-            if held is not None:
-                changed.add(held.failure_domain)
-    for vm, member in before.items():
-        if vm not in after:
-            changed.add(member.failure_domain)
-    return changed
+                chosen.append(entry)
 
 
 def _named(member: Member) -> NamedEntry:
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -1,12 +1,16 @@
 """Look-ups: guards against naming entries that cannot serve and against wrong order."""
 
+import dataclasses
+
 import pytest
 
+from knapweeddock.blocks import parse_address
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import KnapweedError
 from knapweeddock.ids import FailureDomainId, Incarnation, Version, VmId
-from knapweeddock.lookup import Lookup
+from knapweeddock.lookup import CLIENT_GROUPS, Lookup
 from knapweeddock.model import Config, decode_config
+from knapweeddock.rendezvous import hash_parts, weighted_order
 from knapweeddock.state import Member, MemberState, NodeState
 
 DOMAINS = ["gp-1", "gp-2", "wc-1", "wc-2", "kzn-1", "kzn-2"]
@@ -143,6 +147,17 @@
     assert all(after == "b" for before, after in zip(idle, busy, strict=True) if before == "b")
 
 
+def test_the_order_is_that_of_weighted_rendezvous_hashing():
+    """Look-up processes of different versions must send a client to the same entry."""
+    members = [entry(f"m{n}", "gp-1", load=n / 10) for n in range(8)]
+    lookup = lookup_with(members)
+    weights = {member.vm: max(0.05, 1.0 - member.load) for member in members}
+    for host in ("10.1.0.1", "8.8.8.8", "9.9.9.9"):
+        key = lookup.blocks.find(parse_address(host)).key
+        group = hash_parts(str(key)) % CLIENT_GROUPS
+        assert vms(lookup, host)[:2] == weighted_order(str(group), weights)[:2]
+
+
 def test_updates_replace_orders_of_changed_domains_only():
     """A kept order could name an entry that has left since."""
     members = fleet()
@@ -154,6 +169,10 @@
     ]
     lookup.update(state_of(changed))
     assert first not in vms(lookup)
+    moved = [dataclasses.replace(member, incarnation=Incarnation("new")) for member in members]
+    lookup.update(state_of(moved))
+    answer = lookup.answer("ringbook", "10.1.0.1")
+    assert {named.incarnation for named in answer.entries} == {"new"}
     lookup.update(state_of([member for member in members if member.failure_domain != "gp-1"]))
     assert domains(lookup, "10.1.0.1")[0] == "gp-2"
 
