Give local processes only a complete state; restore lost configuration

A restarted agent told its subscribers at once what it knew, which was nothing: look-ups had no entry to name and entries saw their peers vanish until the first comparison. It now waits until a synced peer has answered, at most 3 s. When all agents restart in an outage of the platform, the local processes hold the only copies of the configuration; look-up processes now hand theirs back with a report when the agent's answer shows that it is behind.

--- a/knapweeddock/agent/core.py
+++ b/knapweeddock/agent/core.py
@@ -20,7 +20,7 @@
 from knapweeddock.ids import Incarnation, VmId
 from knapweeddock.membership import down_record
 from knapweeddock.oncelog import OnceLog
-from knapweeddock.proto.knapweed_pb2 import MemberRecord, PushRequest, Record
+from knapweeddock.proto.knapweed_pb2 import MemberRecord, PushRequest, Record, ReportRequest
 from knapweeddock.records import down_key
 from knapweeddock.spread import PushOrder, SpreadNode, Taken
 
@@ -41,7 +41,7 @@
         own: What is published about this VM.
         subscriptions: Streams to local processes.
         once: Problems of peers, each logged once.
-        is_synced: Whether a comparison with a peer has succeeded.
+        synced: Set when ``node.is_synced`` is.
         comparisons_done: Number of comparisons that succeeded.
         comparisons_failed: Number of comparisons that failed.
     """
@@ -56,7 +56,7 @@
         self.peers = PeerClients()
         self.subscriptions = Subscriptions()
         self.once = OnceLog(log=log)
-        self.is_synced = False
+        self.synced = asyncio.Event()
         self.comparisons_done = 0
         self.comparisons_failed = 0
         self._comparing: set[str] = set()
@@ -93,7 +93,7 @@
             now,
             fleet=max(1, len(members.views)),
             domain=max(1, len(members.by_domain.get(self.node.failure_domain, ()))),
-            may_join=self.is_synced,
+            may_join=self.node.is_synced,
             earlier_gone=self._is_earlier_gone(),
         )
         self.node.take(publication.everywhere + publication.in_domain, now)
@@ -135,6 +135,34 @@
         self.settle(config_changed=True)
         self.send(self.node.push_everywhere(self.node.config_news(before), self.rng))
 
+    def mark_synced(self) -> None:
+        """Let local processes have the state, which is complete now.
+
+        An incomplete one after a restart would tell them that members are gone.
+        """
+        self.node.is_synced = True
+        self.synced.set()
+
+    def take_report(self, request: ReportRequest) -> None:
+        """Take a report of a local process, and the configuration that it has.
+
+        All agents may have restarted in an outage of the platform; the local
+        processes then hold the only copies.
+
+        Raises:
+            MessageError: The report is malformed.
+        """
+        self.own.report(request, self.clock.monotonic())
+        history = self.node.history
+        before = history.version
+        if request.document:
+            history.take_document(request.config_version, request.document)
+        if history.version > before:
+            log.info("configuration in force", version=history.version, source=request.role)
+            self.config_advanced(before)
+        else:
+            self.settle()
+
     # Traffic
 
     def send(self, orders: list[PushOrder]) -> None:
@@ -181,6 +209,8 @@
             reply = await self.peers.exchange(address, second)
             changed += self._take_compared(reply.records, address)
             wanted = list(reply.wanted)
+        if reply.is_synced:
+            self.mark_synced()
         push = node.final_push(wanted, peer_version)
         if push is not None:
             await self.peers.push(address, push)
@@ -229,7 +259,6 @@
             self.once.warning(address, error)
             self.comparisons_failed += 1
         else:
-            self.is_synced = True
             self.comparisons_done += 1
             self.settle()
         finally:
--- a/knapweeddock/agent/handlers.py
+++ b/knapweeddock/agent/handlers.py
@@ -81,7 +81,7 @@
         self.entry_gone = asyncio.Event()
 
     async def Subscribe(self, stream: Any) -> None:
-        """Send the node state at once and after every change."""
+        """Send the node state once it is complete and after every change."""
         async with _numbered_errors(self.core, stream):
             request = await _receive(stream)
         active = self.core.subscriptions.active
@@ -90,6 +90,7 @@
         subscription = Subscription(request=request)
         active.add(subscription)
         try:
+            await self.core.synced.wait()
             await self._send_all(stream, subscription)
         except StreamTerminatedError:
             return
@@ -116,8 +117,7 @@
         """Take a report of a local process."""
         async with _numbered_errors(self.core, stream):
             request = await _receive(stream)
-            self.core.own.report(request, self.core.clock.monotonic())
-        self.core.settle()
+            self.core.take_report(request)
         await stream.send_message(ReportReply(config_version=self.core.node.history.version))
 
 
--- a/knapweeddock/agent/service.py
+++ b/knapweeddock/agent/service.py
@@ -31,8 +31,8 @@
 """Time between two comparisons, and between two heartbeats."""
 
 SYNC_WAIT_S = 3.0
-"""Time after a start for which the agent waits to hear from a seed before it
-publishes that its entry is joining."""
+"""Time after a start for which the agent waits to hear from a synced peer before
+it gives its state to local processes and publishes that its entry is joining."""
 
 ROLE_CHECK_S = 0.5
 """Time between two checks of an agent that does not watch the platform."""
@@ -43,6 +43,9 @@
 """Part of the comparisons that go to a seed although members are known, so that
 two halves of the fleet that forgot each other meet again."""
 
+SEEDS_AT_START = 3
+"""Seeds asked in each tick until one has answered; some may be gone."""
+
 MAX_PAUSE_S = 2.0
 """Distance of two ticks above which the process was paused. Heartbeats are not
 judged then, since those of the others could not arrive."""
@@ -129,7 +132,7 @@
             members.expire(now)
             self._compare(tick)
             if now - started_at >= SYNC_WAIT_S or not self._seeds():
-                self.core.is_synced = True
+                self.core.mark_synced()
             self.core.settle()
             self.metrics.update(self.core)
             tick += 1
@@ -142,8 +145,9 @@
         node = self.core.node
         addresses = [node.members.agent_address(vm) for vm in node.comparison_peers(tick, self.rng)]
         seeds = self._seeds()
-        wants_seed = not addresses or not self.core.is_synced
-        if seeds and (wants_seed or self.rng.random() < SEED_PROBABILITY):
+        if not addresses or not self.core.node.is_synced:
+            addresses.extend(self.rng.sample(seeds, min(SEEDS_AT_START, len(seeds))))
+        elif seeds and self.rng.random() < SEED_PROBABILITY:
             addresses.append(self.rng.choice(seeds))
         for address in addresses:
             self.core.start_comparison(address)
--- a/knapweeddock/lookupd/service.py
+++ b/knapweeddock/lookupd/service.py
@@ -53,7 +53,7 @@
         self.reporter = Reporter(
             vm=self.settings.vm,
             agent=self.settings.agents[0],
-            lookup=self.lookup,
+            feed=self.feed,
             incarnation=new_id(),
             address=self.address,
         )
--- a/knapweeddock/lookupd/subscription.py
+++ b/knapweeddock/lookupd/subscription.py
@@ -17,7 +17,7 @@
 from knapweeddock.errors import ConfigError, MessageError, PeerUnavailable
 from knapweeddock.ids import VmId
 from knapweeddock.lookup import Lookup
-from knapweeddock.nodestate import state_from_message
+from knapweeddock.nodestate import state_from_message, with_newest_config
 from knapweeddock.proto.knapweed_grpc import NodeStub
 from knapweeddock.proto.knapweed_pb2 import NodeStateMessage, ReportRequest, SubscribeRequest
 from knapweeddock.state import MemberState, NodeState
@@ -46,6 +46,8 @@
     Attributes:
         lookup: The look-up that gets the states.
         connected: Address of the agent that the stream comes from, or "".
+        document: The newest configuration document as JSON.
+        document_version: Its version.
     """
 
     def __init__(
@@ -61,6 +63,8 @@
         self.lookup = lookup
         self.rng = rng
         self.connected = ""
+        self.document = b""
+        self.document_version = 0
         self._retry_s = RETRY_S
 
     async def run(self) -> None:
@@ -110,17 +114,11 @@
     ) -> NodeState:
         state = state_from_message(message, previous=previous)
         self.connected = address
-        held = self.lookup.state
-        if held is not None and state.config_version < held.config_version:
-            # Another agent may be behind; a configuration is never taken back.
-            state = NodeState(
-                config_version=held.config_version,
-                config=held.config,
-                members=state.members,
-                leaving_servers=state.leaving_servers,
-            )
+        if message.document and message.config_version >= self.document_version:
+            self.document = message.document
+            self.document_version = message.config_version
         try:
-            self.lookup.update(state)
+            self.lookup.update(with_newest_config(state, self.lookup.state))
         except ConfigError as error:
             raise MessageError(f"configuration of {address}: {error}") from error
         return state
@@ -129,16 +127,19 @@
 class Reporter:
     """Tells the local agent where the look-up process listens.
 
+    An agent that is behind, because it restarted while the platform and its
+    peers could not help, gets the configuration document from here.
+
     Attributes:
         address: ``host:port`` for callers.
     """
 
     def __init__(
-        self, *, vm: VmId, agent: str, lookup: Lookup, incarnation: str, address: str
+        self, *, vm: VmId, agent: str, feed: StateFeed, incarnation: str, address: str
     ) -> None:
         self.vm = vm
         self.agent = agent
-        self.lookup = lookup
+        self.feed = feed
         self.incarnation = incarnation
         self.address = address
 
@@ -159,18 +160,21 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def _report_on(self, stub: NodeStub) -> None:
+        agent_version = self.feed.document_version
         while True:
-            state = self.lookup.state
             request = ReportRequest(
                 vm=self.vm,
                 role=ROLE,
                 incarnation=self.incarnation,
                 state=MemberState.SERVING.value,
                 lookup_address=self.address,
-                config_version=state.config_version if state else 0,
+                config_version=self.feed.document_version,
             )
+            if agent_version < self.feed.document_version:
+                request.document = self.feed.document
             async with asyncio.timeout(REPORT_TIMEOUT_S):
-                await stub.Report(request)
+                reply = await stub.Report(request)
+            agent_version = reply.config_version
             await asyncio.sleep(REPORT_INTERVAL_S)
 
 
--- a/knapweeddock/nodestate.py
+++ b/knapweeddock/nodestate.py
@@ -153,6 +153,22 @@
     )
 
 
+def with_newest_config(state: NodeState, held: NodeState | None) -> NodeState:
+    """Return ``state`` with the configuration of ``held`` when that is newer.
+
+    An agent that has just started, or another one, may be behind; a process
+    never takes a lower version.
+    """
+    if held is None or state.config_version >= held.config_version:
+        return state
+    return NodeState(
+        config_version=held.config_version,
+        config=held.config,
+        members=state.members,
+        leaving_servers=state.leaving_servers,
+    )
+
+
 def _config_of(message: NodeStateMessage, previous: NodeState | None) -> Config:
     if message.document_unchanged:
         if previous is None or previous.config_version != message.config_version:
--- a/knapweeddock/spread.py
+++ b/knapweeddock/spread.py
@@ -106,6 +106,8 @@
         store: Its records.
         history: Its configuration.
         members: Its view of the members.
+        is_synced: Whether the records are complete: a comparison with a
+            synced peer has succeeded, or there was time for one.
     """
 
     def __init__(self, *, vm: VmId, failure_domain: FailureDomainId) -> None:
@@ -114,6 +116,7 @@
         self.store = RecordStore()
         self.history = ConfigHistory()
         self.members = MemberTable(vm=vm, failure_domain=failure_domain, store=self.store)
+        self.is_synced = False
 
     # Records
 
@@ -182,7 +185,7 @@
 
     def answer(self, request: ExchangeRequest, now: float) -> ExchangeReply:
         """Answer either round of a comparison."""
-        reply = ExchangeReply(config_version=self.history.version)
+        reply = ExchangeReply(config_version=self.history.version, is_synced=self.is_synced)
         is_neighbour = request.failure_domain == self.failure_domain
         if request.second_round:
             self._compare_keys(request, reply)
--- a/tests/test_agent_evidence.py
+++ b/tests/test_agent_evidence.py
@@ -28,7 +28,7 @@
 
 def core_with_entry(public: str, internal: str, state: str = "serving") -> AgentCore:
     core = build_core()
-    core.is_synced = True
+    core.node.is_synced = True
     request = ReportRequest(vm="own", role="entry", incarnation="e1", state=state)
     request.public_address = public
     request.internal_address = internal
@@ -91,7 +91,7 @@
     core = build_core()
     fields = {"entry_incarnation": "e0", "public_address": gone, "internal_address": gone}
     core.take([member("own", start=0, **fields)], "test")
-    core.is_synced = True
+    core.node.is_synced = True
     core.settle()
     assert core.node.members.views["own"].member.state == "serving"
     core.clock.advance(3.0 + core.clock.monotonic())
--- a/tests/test_agent_service.py
+++ b/tests/test_agent_service.py
@@ -122,7 +122,7 @@
                 await report_entry(first, public=address)
                 await until(lambda: state() == "serving")
             async with running_agent(settings, store) as second:
-                await until(lambda: second.core.is_synced and state() == "serving")
+                await until(lambda: second.core.node.is_synced and state() == "serving")
                 await report_entry(second, public=address)
                 start_ms = second.core.own.start_ms
                 held = peer.core.node.store.records
--- a/tests/test_lookupd.py
+++ b/tests/test_lookupd.py
@@ -1,6 +1,7 @@
 """Look-up daemon: guards against answers that stop or go back when agents are gone."""
 
 import aiohttp
+import msgspec
 import pytest
 
 from knapweeddock.agent import handlers, service
@@ -16,7 +17,7 @@
     until,
     write_change,
 )
-from tests.test_agent_evidence import listening
+from tests.test_agent_evidence import free_address, listening
 
 
 @pytest.fixture(autouse=True)
@@ -91,3 +92,20 @@
         daemon.feed._take(partial, previous, "other")
         assert daemon.lookup.state.members == {}
         assert daemon.lookup.state.config_version == 5
+
+
+async def test_an_agent_that_lost_the_configuration_gets_it_from_the_look_up_process():
+    """All agents may restart in an outage; nobody else has the document then."""
+    store = MemoryObjectStore()
+    store.down = True
+    address = free_address()
+    async with running_lookup("vm-1", [address]) as daemon:
+        document = msgspec.json.encode(DOCUMENT)
+        message = NodeStateMessage(config_version=7, document=document)
+        daemon.feed._take(message, None, address)
+        settings = agent_settings("vm-1", port=int(address.rpartition(":")[2]))
+        async with running_agent(settings, store) as agent:
+            await until(lambda: agent.core.node.history.version == 7)
+            assert agent.core.node.history.document == DOCUMENT
+            await until(lambda: daemon.feed.connected == address)
+            assert daemon.lookup.state.config_version == 7
