--- a/knapweeddock/dispatchsettings.py
+++ b/knapweeddock/dispatchsettings.py
@@ -9,6 +9,8 @@
 
     Attributes:
         max_keys: Keys that are kept at a time.
+        max_key_chars: Longest key. Header limits alone would let a full table
+            take 1.6 GB.
         max_key_life_s: How far not-after may lie in the future.
         retention_s: How long the result of a started key is remembered beyond
             not-after, so that a late repetition is not told "not run".
@@ -18,6 +20,7 @@
     """
 
     max_keys: int = 100_000
+    max_key_chars: int = 255
     max_key_life_s: float = 120.0
     retention_s: float = 60.0
     max_answer_bytes: int = 64 * 1024
--- a/knapweeddock/idempotency.py
+++ b/knapweeddock/idempotency.py
@@ -91,6 +91,8 @@
         """
         if key.incarnation != self.incarnation:
             return ResultCode.OTHER_INCARNATION
+        if not 0 < len(key.key) <= self.limits.max_key_chars:
+            return ResultCode.BAD_REQUEST
         record = self.records.get(key.key)
         if record is None:
             return self._unseen(key)
