--- a/standins/backend.py
+++ b/standins/backend.py
@@ -73,7 +73,6 @@
 
     server: str
     key: str
-    entry: str
     method: str
     path: str
     started_at: float
--- a/tests/processes/world.py
+++ b/tests/processes/world.py
@@ -116,7 +116,7 @@
         while not self.ending:
             due += self.rng.expovariate(rate_per_s)
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            self.begin(next(self.calls))
+            self.begin(next(self.calls), due)
         while self.running:
             await asyncio.wait(set(self.running))
 
