Test that bodies, redirects and cookies pass through unchanged

Changes to the client's and server's options for decompression and redirects went unnoticed by the tests. Header bytes that are not UTF-8 cannot be written by aiohttp, which drops them silently in its C writer; the test now pins that they are replaced by U+FFFD instead.

--- a/tests/entry/test_proxy.py
+++ b/tests/entry/test_proxy.py
@@ -1,4 +1,5 @@
 import asyncio
+import gzip
 import json
 
 import pytest
@@ -321,5 +322,30 @@
         host, port = run.service.ports.public.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"GET /x HTTP/1.1\r\nHost: ledger.test\r\nX-There: \xe4\r\n\r\n")
-        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        answer_head = await reader.readuntil(b"\r\n\r\n")
+        assert answer_head.startswith(b"HTTP/1.1 200 ")
+        assert b"X-Back: \xef\xbf\xbd\r\n" in answer_head
         writer.close()
+    assert "X-There: \ufffd\r\n" in run.server.heads[0]
+
+
+async def test_coded_bodies_redirects_and_cookies_are_the_callers_business():
+    """Guards against a proxy that decodes, follows or remembers in the caller's place."""
+    coded = gzip.compress(b"plain")
+
+    async def script(number, head, body, writer):
+        headers = ["Content-Encoding: gzip", "Location: /other", "Set-Cookie: a=1"]
+        writer.write(answer(body or coded, status="302 Found", headers=headers))
+        return True
+
+    async with serving(script) as run:
+        response, body = await run.send("GET", allow_redirects=False)
+        assert (response.status, response.headers["Location"], body) == (302, "/other", coded)
+        headers = {**run.caller.key(), "Content-Encoding": "gzip"}
+        options = {"headers": headers, "data": coded, "allow_redirects": False}
+        _, body = await run.send("POST", **options)
+        assert body == coded
+        run.caller.session.cookie_jar.clear()
+        await run.send("GET", allow_redirects=False)
+    assert run.server.bodies == [b"", coded, b""]
+    assert not any("Cookie:" in head for head in run.server.heads)
