Keep a leaving entry's slots until it has left; end grants that are handed over

Cause: an entry lost all of its slots when it started to leave, while it still takes requests for the look-up lifetime, and no peer may use them before the last running request has ended.

Ruled out: a longer retry at the borrower, which only moves the refusals.

Now a leaving member keeps its slots until it has left, and a grant whose slots were handed over or drained is answered 116, which ends it at the borrower.

--- a/knapweeddock/fleet.py
+++ b/knapweeddock/fleet.py
@@ -98,14 +98,13 @@
 def may_own(members: Iterable[Member], drained_vms: set[VmId]) -> set[VmId]:
     """Return the VMs that own slots, given the members that are not gone.
 
-    These are the serving VMs that are not drained. When there are none, the
-    domain's last serving or leaving VMs keep the slots, so that a planned stop
-    of the last VM interrupts nothing.
+    A leaving entry goes on taking requests until the look-ups that name it have
+    expired, so it keeps its slots until it has left. Taking them away when it
+    starts to leave would stop half of a two-VM domain's slots until its last
+    running request has ended. Drained VMs own slots only when no other VM does.
     """
-    members = list(members)
-    serving = {m.vm for m in members if m.state is MemberState.SERVING}
-    leaving = {m.vm for m in members if m.state is MemberState.LEAVING}
-    return (serving - drained_vms) or serving or leaving
+    owners = {m.vm for m in members if m.state in (MemberState.SERVING, MemberState.LEAVING)}
+    return (owners - drained_vms) or owners
 
 
 class LenderDirectory:
--- a/knapweeddock/localsite.py
+++ b/knapweeddock/localsite.py
@@ -194,6 +194,15 @@
         self.ledger.start(self.ledger.hold_of(slot))
         return slot
 
+    def honours(self, lender: Lender, grant: GrantId, health: HealthBook) -> bool:
+        """Whether a slot of ``grant`` on a server that stays may still be used."""
+        for key in lender.grants[grant].keys:
+            hold = self.ledger.holds.get(self.site_id, {}).get(key)
+            record = health.records.get(hold.slot.server) if hold else None
+            if record and not record.leaving and key in self._allowed(hold):
+                return True
+        return False
+
     def _allowed(self, hold: Hold) -> set[SlotKey]:
         if not hold.remote:
             return self.handover.usable
--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -226,10 +226,13 @@
             return ResultCode.GRANT_LAPSED
         local = self.sites.get(lent.site)
         if local is None or self.index.is_drained(lent.site) or not self._may_work(now):
-            return ResultCode.SHED
+            return ResultCode.GRANT_LAPSED
         slot = local.acquire_granted(self.lender, grant, self.health, now, exclude=exclude)
         if slot is None:
-            return ResultCode.SHED
+            # The borrower keeps a grant that is answered with SHED, so a grant
+            # whose slots were handed over must end here.
+            honoured = local.honours(self.lender, grant, self.health)
+            return ResultCode.SHED if honoured else ResultCode.GRANT_LAPSED
         self.health.started(slot.server)
         return slot
 
