Publish versions in force apart from loads

A change was shown as in force on 12 VMs 7.11 s after it was accepted (demonstration): changes of load had used up the allowance that versions shared with them. A stopping agent finishes its pushes, at most for 1 s, so that the record of an entry that left is not lost.

--- a/knapweeddock/agent/core.py
+++ b/knapweeddock/agent/core.py
@@ -30,6 +30,9 @@
 PUSH_TRIES = 3
 """Receivers tried for one push before it is left to the comparisons."""
 
+CLOSE_WAIT_S = 1.0
+"""Longest time to finish pushes when the agent stops."""
+
 log = structlog.get_logger(__name__)
 
 
@@ -275,7 +278,9 @@
             log.error("background task failed", exc_info=task.exception())
 
     async def close(self) -> None:
-        """Cancel pushes and close connections."""
+        """Finish pushes, such as that of a member that left, and close connections."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CLOSE_WAIT_S)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/knapweeddock/agent/ownmember.py
+++ b/knapweeddock/agent/ownmember.py
@@ -17,7 +17,8 @@
 MEMBER_COST_S = 0.5
 """Seconds between two publications of slow fields, per member that gets them.
 
-A fleet of any size then receives at most two such records per second.
+A member of a fleet of any size then receives at most two records per second for
+versions and two for loads.
 """
 
 DETAIL_COST_S = 0.2
@@ -51,6 +52,32 @@
         return True
 
 
+class SlowFields:
+    """Limits how often changes of version and load are published.
+
+    The two have allowances of their own: under changing load the loads used
+    up a common one, and it took 7 s until ``apply --wait`` saw a version that
+    was in force on 12 VMs.
+    """
+
+    def __init__(self) -> None:
+        self.versions = Allowance(burst=BURST)
+        self.loads = Allowance(burst=BURST)
+
+    def is_due(
+        self,
+        new: MemberRecord | DetailRecord,
+        old: MemberRecord | DetailRecord,
+        now: float,
+        refill_s: float,
+    ) -> bool:
+        """Return whether the difference from the last publication may be published."""
+        if new.config_version != old.config_version and self.versions.take(now, refill_s):
+            return True
+        has_moved = abs(new.load - old.load) >= LOAD_STEP
+        return has_moved and self.loads.take(now, refill_s)
+
+
 @dataclass(kw_only=True, slots=True)
 class Publication:
     """Records that are new.
@@ -98,8 +125,8 @@
         self._detail_version = 0
         self._member: MemberRecord | None = None
         self._detail: DetailRecord | None = None
-        self._member_allowance = Allowance(burst=BURST)
-        self._detail_allowance = Allowance(burst=BURST)
+        self._slow_member = SlowFields()
+        self._slow_detail = SlowFields()
 
     def report(self, request: ReportRequest, now: float) -> None:
         """Take a report of a local process.
@@ -191,8 +218,7 @@
             urgent.load = before.load
             urgent.config_version = before.config_version
             is_due = urgent != before or (
-                _slow_change(member, before)
-                and self._member_allowance.take(now, fleet * MEMBER_COST_S)
+                self._slow_member.is_due(member, before, now, fleet * MEMBER_COST_S)
             )
             if not is_due:
                 return
@@ -219,8 +245,7 @@
                 or detail.entry_incarnation != before.entry_incarnation
             )
             is_due = is_urgent or (
-                _slow_change(detail, before)
-                and self._detail_allowance.take(now, domain * DETAIL_COST_S)
+                self._slow_detail.is_due(detail, before, now, domain * DETAIL_COST_S)
             )
             if not is_due:
                 return
@@ -256,7 +281,3 @@
             member.load = self.entry.load
             member.config_version = self.entry.config_version
         return member
-
-
-def _slow_change(new: MemberRecord | DetailRecord, old: MemberRecord | DetailRecord) -> bool:
-    return new.config_version != old.config_version or abs(new.load - old.load) >= LOAD_STEP
