Reorder messages more in the spread state machine

In trials the machine missed a store that accepted older records: messages were mostly taken in order, and half of the time went into a first convergence. Nodes now start with known members and messages are taken from random places.

--- a/tests/test_spread_fuzz.py
+++ b/tests/test_spread_fuzz.py
@@ -54,8 +54,10 @@
         self.member_versions: dict[str, tuple[int, int]] = {}
         for vm in PLACES:
             self.start(vm)
-        # Without it, most runs would end before the nodes know each other.
-        self.converge()
+        # Otherwise most runs would end before the nodes know each other.
+        members = [self.nodes[vm].store.records[f"member/{vm}"] for vm in PLACES]
+        for node in self.nodes.values():
+            node.take(members, self.now)
 
         # With few or no kept changes, peers often serve whole documents.
         self.kept = pytest.MonkeyPatch()
@@ -149,13 +151,13 @@
             self.flight.append(Envelope(one, other, node.with_heartbeats(node.first_request())))
 
     @precondition(lambda self: self.flight)
-    @rule(count=st.integers(1, 8), data=st.data(), fate=st.sampled_from(["once", "twice", "lost"]))
-    def deliver(self, count: int, data: st.DataObject, fate: str) -> None:
+    @rule(count=st.integers(1, 8), fate=st.sampled_from(["once", "twice", "lost"]))
+    def deliver(self, count: int, fate: str) -> None:
         """Take messages from any place in the flight; a doubled one stays in it."""
         for _ in range(count):
             if not self.flight:
                 return
-            position = data.draw(st.integers(0, len(self.flight) - 1))
+            position = self.rng.randrange(len(self.flight))
             envelope = self.flight[position]
             if fate != "twice":
                 del self.flight[position]
