--- a/knapweeddock/agent/platform.py
+++ b/knapweeddock/agent/platform.py
@@ -14,7 +14,13 @@
 from knapweeddock.agent.core import AgentCore
 from knapweeddock.changes import HEAD_KEY, VersionedDocument
 from knapweeddock.confighistory import Progress
-from knapweeddock.errors import ConfigError, RateLimited, StoreError, StoreUnavailable
+from knapweeddock.errors import (
+    ConfigError,
+    KnapweedError,
+    RateLimited,
+    StoreError,
+    StoreUnavailable,
+)
 from knapweeddock.headstore import fetch_document, stored_head
 from knapweeddock.ids import VmId
 from knapweeddock.objectstore import ABSENT, ObjectStore, StoredObject
@@ -75,6 +81,28 @@
         return wait
 
 
+class CallLog:
+    """Logs when calls of the platform begin to fail and when they work again."""
+
+    def __init__(self, *, what: str) -> None:
+        self.what = what
+        self.is_failing = False
+
+    def failed(self, error: KnapweedError) -> None:
+        """Note a failed call."""
+        if not self.is_failing:
+            log.warning(
+                "platform call failed", what=self.what, code=int(error.code), error=str(error)
+            )
+        self.is_failing = True
+
+    def worked(self) -> None:
+        """Note a call that was answered."""
+        if self.is_failing:
+            log.info("platform answers again", what=self.what)
+        self.is_failing = False
+
+
 class ConfigWatch:
     """Brings new versions of the configuration from the platform.
 
--- a/knapweeddock/agent/service.py
+++ b/knapweeddock/agent/service.py
@@ -15,6 +15,7 @@
 from knapweeddock.agent.platform import (
     VM_LIST_INTERVAL_S,
     Backoff,
+    CallLog,
     ConfigWatch,
     VmListWatch,
     is_watcher,
@@ -155,6 +156,7 @@
     @Service.task
     async def _config_loop(self) -> None:
         watch = ConfigWatch(core=self.core, store=self.store)
+        calls = CallLog(what="configuration")
         backoff = Backoff(rng=self.rng)
         while not self.should_stop:
             if not is_watcher(self.core):
@@ -163,14 +165,16 @@
             try:
                 await watch.step()
                 backoff.reset()
+                calls.worked()
             except (StoreError, ConfigError) as error:
-                self.core.once.warning("platform", error)
+                calls.failed(error)
                 self.metrics.platform_failed()
                 await self.sleep(backoff.next_s(error))
 
     @Service.task
     async def _vm_list_loop(self) -> None:
         watch = VmListWatch(core=self.core, vm_list=self.vm_list)
+        calls = CallLog(what="VM list")
         backoff = Backoff(rng=self.rng)
         while not self.should_stop:
             wait = VM_LIST_INTERVAL_S
@@ -178,8 +182,10 @@
                 try:
                     await watch.step()
                     backoff.reset()
+                    calls.worked()
                 except StoreError as error:
-                    self.core.once.warning("VM list", error)
+                    calls.failed(error)
+                    self.metrics.platform_failed()
                     wait = max(wait, backoff.next_s(error))
             await self.sleep(wait * self.rng.uniform(0.9, 1.1))
 
