--- a/knapweeddock/slotcapacity.py
+++ b/knapweeddock/slotcapacity.py
@@ -107,7 +107,7 @@
             self.config_version = state.config_version
             self.index = ConfigIndex(state.config, self.failure_domain)
         leaving = state.leaving_servers | self.index.drained_servers
-        self.health.configure(self.index.local_servers(), leaving)
+        self.health.configure(self.index.local_servers, leaving)
         self._configure_sites(now)
         self._advance_sites(now)
 
@@ -226,10 +226,13 @@
             return ResultCode.GRANT_LAPSED
         local = self.sites.get(lent.site)
         if local is None or self.index.is_drained(lent.site) or not self._may_work(now):
-            return ResultCode.SHED
+            return ResultCode.GRANT_LAPSED
         slot = local.acquire_granted(self.lender, grant, self.health, now, exclude=exclude)
         if slot is None:
-            return ResultCode.SHED
+            # The borrower keeps a grant that is answered with SHED, so a grant
+            # whose slots were handed over must end here.
+            honoured = local.honours(self.lender, grant, self.health)
+            return ResultCode.SHED if honoured else ResultCode.GRANT_LAPSED
         self.health.started(slot.server)
         return slot
 
@@ -242,17 +245,17 @@
         self._advance(now)
         if self.index is None:
             return []
-        owners = {name: self._owners(local) for name, local in self.sites.items()}
         found = []
-        for candidate in self.directory.candidates(pool, self.index, owners):
+        for candidate in self.directory.candidates(pool, self.index, self._owners_of):
             if not self.borrower.is_refusing(candidate.vm, candidate.site, now):
                 found.append(candidate)
                 if len(found) == LENDERS_MAX:
                     break
         return found
 
-    def _owners(self, local: LocalSite) -> set[VmId]:
-        return set(local.handover.view.owners.values())
+    def _owners_of(self, site: SiteId) -> set[VmId] | None:
+        local = self.sites.get(site)
+        return set(local.handover.view.owners.values()) if local else None
 
     def borrowed(self, grant: Grant, asked_at: float, now: float) -> None:
         """Take in a grant that was asked for at ``asked_at``."""
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -33,6 +33,9 @@
             serving what still arrives.
         silent: Whether requests run but are never answered.
         accept_only: Whether requests are read, never run and never answered.
+        close_after_read: Whether the connection is closed after a request was
+            read; the request does not run.
+        silent_reports: Whether the health and load reports never answer.
         late_s: Time added between running a request and answering it.
         truncate: Whether answers end in the middle.
         shed: Whether every request is shed.
@@ -46,6 +49,8 @@
     draining: bool = False
     silent: bool = False
     accept_only: bool = False
+    close_after_read: bool = False
+    silent_reports: bool = False
     late_s: float = 0.0
     truncate: bool = False
     shed: bool = False
@@ -181,6 +186,9 @@
     await asyncio.sleep(2 * state.delays.get(entry, 0.0))
     if state.faults.accept_only:
         await asyncio.sleep(3600)
+    if state.faults.close_after_read and request.transport is not None:
+        request.transport.close()
+        return web.Response()
     if state.faults.shed or state.in_flight >= state.slots:
         state.shed_count += 1
         headers = {"Backend-Not-Run": "1", "Retry-After": "1", **leaving_header(state)}
