--- a/knapweeddock/fleet.py
+++ b/knapweeddock/fleet.py
@@ -4,10 +4,10 @@
 domains are only grouped by domain, and only when a lender there is looked for.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from knapweeddock.grants import LenderCandidate
-from knapweeddock.ids import FailureDomainId, PoolId, RegionId, ServerId, SiteId, VmId
+from knapweeddock.ids import FailureDomainId, PoolId, RegionId, SiteId, VmId
 from knapweeddock.model import Config, Site
 from knapweeddock.rendezvous import weighted_order
 from knapweeddock.slots import RankLimits, link_caps_into, rank_limits, site_cap
@@ -27,6 +27,7 @@
         domain: Own failure domain.
         local_sites: Sites of the own domain.
         limits: Limits on remote use of the local sites.
+        local_servers: Servers of the local sites.
         drained_vms: VMs that are drained.
         drained_servers: Servers that are drained.
     """
@@ -50,6 +51,9 @@
             if site.failure_domain == domain:
                 self.local_sites[site_id] = site
         self.limits = {name: self._limits_of(name) for name in self.local_sites}
+        self.local_servers = frozenset(
+            name for site in self.local_sites.values() for name in site.servers
+        )
         self.orders: dict[PoolId, list[SiteId]] = {}
 
     def _limits_of(self, site_id: SiteId) -> RankLimits:
@@ -86,10 +90,6 @@
             return -1.0
         return self.config.delay_ms(self.domain, target)
 
-    def local_servers(self) -> set[ServerId]:
-        """Return the servers of the own domain's sites."""
-        return {name for site in self.local_sites.values() for name in site.servers}
-
 
 def _chosen(flags: Mapping) -> set:
     return {name for name, value in flags.items() if value}
@@ -98,14 +98,13 @@
 def may_own(members: Iterable[Member], drained_vms: set[VmId]) -> set[VmId]:
     """Return the VMs that own slots, given the members that are not gone.
 
-    These are the serving VMs that are not drained. When there are none, the
-    domain's last serving or leaving VMs keep the slots, so that a planned stop
-    of the last VM interrupts nothing.
+    A leaving entry goes on taking requests until the look-ups that name it have
+    expired, so it keeps its slots until it has left. Taking them away when it
+    starts to leave would stop half of a two-VM domain's slots until its last
+    running request has ended. Drained VMs own slots only when no other VM does.
     """
-    members = list(members)
-    serving = {m.vm for m in members if m.state is MemberState.SERVING}
-    leaving = {m.vm for m in members if m.state is MemberState.LEAVING}
-    return (serving - drained_vms) or serving or leaving
+    owners = {m.vm for m in members if m.state in (MemberState.SERVING, MemberState.LEAVING)}
+    return (owners - drained_vms) or owners
 
 
 class LenderDirectory:
@@ -130,20 +129,21 @@
         self.cache = {}
 
     def candidates(
-        self, pool: PoolId, index: ConfigIndex, owners: Mapping[SiteId, set[VmId]]
+        self, pool: PoolId, index: ConfigIndex, owners_of: Callable[[SiteId], set[VmId] | None]
     ) -> list[LenderCandidate]:
         """Return all possible lenders of ``pool``, the best one first.
 
         Args:
             pool: The pool.
             index: The configuration.
-            owners: VMs of the own domain that own slots, by local site.
+            owners_of: Returns the VMs that own slots of a local site, and None
+                for a site of another domain.
         """
         known = self.cache.get(pool)
         if known is None:
             known = []
             for site_id in index.open_sites(pool):
-                known += self._of_site(site_id, index, owners.get(site_id))
+                known += self._of_site(site_id, index, owners_of(site_id))
             self.cache[pool] = known
         return known
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -9,8 +9,12 @@
 import argparse
 import asyncio
 import hashlib
+import json
+import os
+import signal
 import time
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 
 from aiohttp import web
 
@@ -39,6 +43,7 @@
         cold_factor: Slow-down while cold.
         stale_load: Value that the load report repeats, None for the true one.
         health: Value that the health report repeats, None for the true one.
+        silent_reports: Whether health and load reports are never answered.
     """
 
     draining: bool = False
@@ -53,27 +58,30 @@
     cold_factor: float = 4.0
     stale_load: int | None = None
     health: str | None = None
+    silent_reports: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True)
 class RunRecord:
     """One request that a server started.
 
     Attributes:
-        server: Identifier of the server.
+        server: The server.
         key: Idempotency key, empty without one.
-        entry: VM of the entry that the caller sent the request to.
         method: HTTP method.
         path: Path with query.
-        started_at: Wall time of the start in seconds.
+        started_at: Wall time at which it took a slot.
+        finished_at: Wall time at which it left the slot, 0 while it runs.
+        entry: Entry VM to which the caller sent it, empty when not known.
     """
 
     server: str
     key: str
-    entry: str
     method: str
     path: str
     started_at: float
+    finished_at: float = 0.0
+    entry: str = ""
 
 
 @dataclass(kw_only=True)
@@ -90,6 +98,7 @@
         cancelled: Requests whose connection closed while they ran.
         faults: Faults that are switched on.
         cold_until: Monotonic time at which the server is warm.
+        delays: One-way delay in seconds from the domain of each entry VM.
     """
 
     name: str
@@ -102,6 +111,7 @@
     runs: list[RunRecord] = field(default_factory=list)
     faults: ServerFaults = field(default_factory=ServerFaults)
     cold_until: float = 0.0
+    delays: dict[str, float] = field(default_factory=dict)
 
 
 STATE = web.AppKey("state", ServerState)
@@ -151,24 +161,29 @@
 
 async def get_log(request: web.Request) -> web.Response:
     """Answer what the server ran and its counters."""
-    state = request.app[STATE]
-    return web.json_response(
-        {
-            "server": state.name,
-            "slots": state.slots,
-            "peak": state.peak,
-            "in_flight": state.in_flight,
-            "shed": state.shed_count,
-            "cancelled": state.cancelled,
-            "runs": [asdict(run) for run in state.runs],
-        }
-    )
+    return web.json_response(log_of(request.app[STATE]))
+
+
+def log_of(state: ServerState) -> dict:
+    """Return what a server ran and its counters as a JSON value."""
+    return {
+        "server": state.name,
+        "slots": state.slots,
+        "peak": state.peak,
+        "in_flight": state.in_flight,
+        "shed": state.shed_count,
+        "cancelled": state.cancelled,
+        "runs": [asdict(run) for run in state.runs],
+    }
 
 
 async def serve(request: web.Request) -> web.StreamResponse:
     """Run one request in a slot, or shed it."""
     state = request.app[STATE]
     body = await request.read()
+    entry = request.headers.get("X-Caller-Entry", "")
+    # Both ways at once, before the slot is taken: the way back uses no slot either.
+    await asyncio.sleep(2 * state.delays.get(entry, 0.0))
     if state.faults.accept_only:
         await asyncio.sleep(3600)
     if state.faults.close_after_read and request.transport is not None:
@@ -178,7 +193,7 @@
         state.shed_count += 1
         headers = {"Backend-Not-Run": "1", "Retry-After": "1", **leaving_header(state)}
         return web.Response(status=503, headers=headers)
-    record_start(state, request)
+    record = record_start(state, request)
     try:
         await asyncio.sleep(service_time(state, request))
         return await answer(state, request, body)
@@ -187,22 +202,23 @@
         raise
     finally:
         state.in_flight -= 1
+        record.finished_at = time.time()
 
 
-def record_start(state: ServerState, request: web.Request) -> None:
+def record_start(state: ServerState, request: web.Request) -> RunRecord:
     """Take a slot and append the request to the log."""
     state.in_flight += 1
     state.peak = max(state.peak, state.in_flight)
-    state.runs.append(
-        RunRecord(
-            server=state.name,
-            key=request.headers.get("Idempotency-Key", ""),
-            entry=request.headers.get("X-Caller-Entry", ""),
-            method=request.method,
-            path=request.path_qs,
-            started_at=time.time(),
-        )
+    record = RunRecord(
+        server=state.name,
+        key=request.headers.get("Idempotency-Key", ""),
+        method=request.method,
+        path=request.path_qs,
+        started_at=time.time(),
+        entry=request.headers.get("X-Caller-Entry", ""),
     )
+    state.runs.append(record)
+    return record
 
 
 def service_time(state: ServerState, request: web.Request) -> float:
@@ -256,11 +272,30 @@
     return runner
 
 
-async def serve_all(servers: list[str], slots: int, service_ms: float) -> None:
+def end_at_once(states: list[ServerState], final_log: Path) -> None:
+    """Write the logs and end the process as a crash would: no connection is shut down."""
+    final_log.write_text(json.dumps([log_of(state) for state in states]))
+    os._exit(1)
+
+
+async def serve_all(
+    servers: list[str],
+    slots: int,
+    service_ms: float,
+    delays: dict[str, dict[str, float]],
+    final_log: Path | None,
+) -> None:
     """Serve all ``name=port`` pairs until the process is stopped."""
+    states = []
+    if final_log is not None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, end_at_once, states, final_log)
     for item in servers:
         name, _, port = item.partition("=")
-        state = ServerState(name=name, slots=slots, service_s=service_ms / 1000)
+        state = ServerState(
+            name=name, slots=slots, service_s=service_ms / 1000, delays=delays.get(name, {})
+        )
+        states.append(state)
         await start_server(state, int(port))
     await asyncio.Event().wait()
 
@@ -271,8 +306,15 @@
     parser.add_argument("--server", action="append", required=True, metavar="NAME=PORT")
     parser.add_argument("--slots", type=int, default=DEFAULT_SLOTS)
     parser.add_argument("--service-ms", type=float, default=DEFAULT_SERVICE_S * 1000)
+    parser.add_argument("--delays", type=Path, metavar="FILE", help="JSON: server, VM, seconds")
+    parser.add_argument("--final-log", type=Path, metavar="FILE", help="log written on SIGTERM")
     arguments = parser.parse_args()
-    asyncio.run(serve_all(arguments.server, arguments.slots, arguments.service_ms))
+    delays = json.loads(arguments.delays.read_text()) if arguments.delays else {}
+    asyncio.run(
+        serve_all(
+            arguments.server, arguments.slots, arguments.service_ms, delays, arguments.final_log
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,18 +2,19 @@
 
 import asyncio
 import json
+import signal
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from knapweeddock.model import decode_config
 from standins.processes import ManagedProcess, PortAllocator
 
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.1
-SERVERS_PER_PROCESS = 12
 
 
 @dataclass(kw_only=True)
@@ -71,6 +72,9 @@
         document: The merged configuration that the servers are taken from.
         vms_per_domain: Entry VMs in each failure domain.
         service_ms: Time that a backend server takes for a request.
+        with_delays: Whether servers add the delay between the failure domains of
+            the configuration; loopback alone has none.
+        entry_module: Module that is run as the entry process.
         ports: Source of free ports.
     """
 
@@ -79,6 +83,8 @@
     document: dict
     vms_per_domain: int = 2
     service_ms: float = 20.0
+    with_delays: bool = False
+    entry_module: str = "knapweeddock.entry"
     ports: PortAllocator = field(default_factory=PortAllocator)
     platform: ManagedProcess | None = None
     platform_port: int = 0
@@ -107,8 +113,8 @@
             "platform", ["-m", "standins.platform", "--port", str(self.platform_port)]
         )
         self.place_servers()
-        self.place_backends()
         self.place_vms()
+        self.place_backends()
 
     def process(self, name: str, arguments: list[str]) -> ManagedProcess:
         """Describe a process whose log is named after it."""
@@ -136,14 +142,32 @@
         override.write_text(json.dumps({"sites": sites}, indent=1))
 
     def place_backends(self) -> None:
-        """Spread the servers over a few processes."""
-        for start in range(0, len(self.servers), SERVERS_PER_PROCESS):
-            part = self.servers[start : start + SERVERS_PER_PROCESS]
+        """Describe a process for the servers of each failure domain."""
+        delays = self.root / "delays.json"
+        delays.write_text(json.dumps(self.delays() if self.with_delays else {}))
+        for domain in self.failure_domains():
+            part = [place for place in self.servers if place.failure_domain == domain]
             arguments = ["-m", "standins.backend", "--service-ms", str(self.service_ms)]
+            arguments += ["--delays", str(delays), "--final-log", str(self.final_log(domain))]
             for place in part:
                 arguments += ["--server", f"{place.server}={place.port}"]
-            number = start // SERVERS_PER_PROCESS
-            self.backends.append(self.process(f"backend-{number}", arguments))
+            self.backends.append(self.process(f"backend-{domain}", arguments))
+
+    def final_log(self, domain: str) -> Path:
+        """Return the file to which the servers of a domain write their log when they end."""
+        return self.root / f"backend-{domain}-final.json"
+
+    def delays(self) -> dict[str, dict[str, float]]:
+        """Return the one-way delay in seconds from each VM's domain to each server."""
+        config = decode_config(self.document)
+        return {
+            place.server: {
+                vm.vm: config.delay_ms(vm.failure_domain, place.failure_domain) / 1000
+                for vm in self.vms.values()
+                if vm.failure_domain != place.failure_domain
+            }
+            for place in self.servers
+        }
 
     def failure_domains(self) -> list[str]:
         """Return the failure domains in the order of the configuration."""
@@ -186,7 +210,7 @@
             lookup_port=lookup_port,
             public_port=public_port,
             agent=self.daemon(vm, "agent", "knapweeddock.agent", agent),
-            entry=self.daemon(vm, "entry", "knapweeddock.entry", entry),
+            entry=self.daemon(vm, "entry", self.entry_module, entry),
             lookup=self.daemon(vm, "lookup", "knapweeddock.lookupd", lookup),
         )
         return self.vms[vm]
@@ -226,6 +250,17 @@
         for process in self.processes:
             process.start()
 
+    async def wait_standins(self, timeout: float = READY_TIMEOUT_S) -> None:
+        """Wait until the platform and every backend server accept connections.
+
+        Raises:
+            TimeoutError: One of them did not in time.
+        """
+        ports = [self.platform_port, *(place.port for place in self.servers)]
+        async with asyncio.timeout(timeout):
+            for port in ports:
+                await wait_port(port)
+
     async def publish_vm_list(self, leaving: frozenset[str] = frozenset()) -> None:
         """Replace the platform's VM list."""
         await post_json(f"{self.platform_url}/standin/vms", self.vm_list(leaving))
@@ -240,10 +275,24 @@
         await post_json(f"{place.url}/standin/faults", faults)
 
     async def server_logs(self) -> list[dict]:
-        """Return the log of each backend server."""
-        urls = [f"{place.url}/standin/log" for place in self.servers]
+        """Return the log of each backend server, ended ones included."""
+        logs = []
         async with aiohttp.ClientSession() as session:
-            return [await get_json(session, url) for url in urls]
+            for place in self.servers:
+                final = self.final_log(place.failure_domain)
+                if final.exists():
+                    kept = json.loads(final.read_text())
+                    logs += [log for log in kept if log["server"] == place.server]
+                else:
+                    logs.append(await get_json(session, f"{place.url}/standin/log"))
+        return logs
+
+    def end_servers(self, domain: str) -> None:
+        """End the servers of a domain at once; their logs stay readable."""
+        for process in self.backends:
+            if process.name == f"backend-{domain}":
+                process.send(signal.SIGTERM)
+                process.wait()
 
     async def status(self, vm: str) -> dict | None:
         """Return what a VM's look-up process knows, or None without an answer."""
@@ -280,6 +329,18 @@
         return serving >= set(self.vms)
 
 
+async def wait_port(port: int) -> None:
+    """Wait until something on loopback accepts connections at ``port``."""
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(HOST, port)
+        except OSError:
+            await asyncio.sleep(POLL_S)
+        else:
+            writer.close()
+            return
+
+
 async def post_json(url: str, content: object) -> None:
     """Post a JSON value and check the status."""
     timeout = aiohttp.ClientTimeout(total=5)
