--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -1,11 +1,12 @@
 import asyncio
 import random
 import signal
+import time
 
 from pytest_bdd import parsers, scenarios, then, when
 
 from standins.caller import Call, Caller, CallOutcome, caller_session
-from tests.processes.world import HOST
+from tests.processes.world import HANG_LIMIT_S, HOST
 
 scenarios("../features/planned_stop.feature")
 
@@ -14,7 +15,7 @@
 
 async def long_booking(world, vm, seconds):
     """Send one booking to the entry that is named for ``vm``."""
-    lookups = [world.deployment.vms[vm].lookup_url]
+    lookups = [place.lookup_url for place in world.deployment.vms.values()]
     async with caller_session() as session:
         caller = Caller(
             session=session,
@@ -34,8 +35,20 @@
 
 @when(parsers.parse("a booking that takes {seconds:d} s is begun at {vm}"))
 def _(world, vm, seconds):
+    since = time.time()
     coroutine = long_booking(world, vm, seconds)
     world.long_booking = asyncio.run_coroutine_threadsafe(coroutine, world.loop)
+    world.do(has_begun(world, f"service_ms={seconds * 1000}", since))
+
+
+async def has_begun(world, query, since):
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while True:
+            logs = (await world.server_logs()).values()
+            recent = [run for log in logs for run in log["runs"] if run["started_at"] >= since]
+            if any(run["path"].endswith(query) for run in recent):
+                return
+            await asyncio.sleep(0.05)
 
 
 @when(parsers.parse("{which} of {vm} get SIGTERM"))
