--- a/standins/backend.py
+++ b/standins/backend.py
@@ -35,7 +35,8 @@
         accept_only: Whether requests are read, never run and never answered.
         close_after_read: Whether the connection is closed after a request was
             read; the request does not run.
-        silent_reports: Whether the health and load reports never answer.
+        silence_open_connections: Whether the connections that are open now go
+            silent for ever, while new ones work.
         late_s: Time added between running a request and answering it.
         truncate: Whether answers end in the middle.
         shed: Whether every request is shed.
@@ -50,7 +51,7 @@
     silent: bool = False
     accept_only: bool = False
     close_after_read: bool = False
-    silent_reports: bool = False
+    silence_open_connections: bool = False
     late_s: float = 0.0
     truncate: bool = False
     shed: bool = False
@@ -98,6 +99,8 @@
         cancelled: Requests whose connection closed while they ran.
         faults: Faults that are switched on.
         cold_until: Monotonic time at which the server is warm.
+        connections: Connections that have brought a request.
+        silenced: Connections that no longer answer.
         delays: One-way delay in seconds from the domain of each entry VM.
     """
 
@@ -111,6 +114,8 @@
     runs: list[RunRecord] = field(default_factory=list)
     faults: ServerFaults = field(default_factory=ServerFaults)
     cold_until: float = 0.0
+    connections: set[object] = field(default_factory=set)
+    silenced: set[object] = field(default_factory=set)
     delays: dict[str, float] = field(default_factory=dict)
 
 
@@ -155,6 +160,7 @@
     """Replace the faults."""
     state = request.app[STATE]
     state.faults = ServerFaults(**await request.json())
+    state.silenced = set(state.connections) if state.faults.silence_open_connections else set()
     state.cold_until = time.monotonic() + state.faults.cold_s
     return web.Response()
 
@@ -184,7 +190,8 @@
     entry = request.headers.get("X-Caller-Entry", "")
     # Both ways at once, before the slot is taken: the way back uses no slot either.
     await asyncio.sleep(2 * state.delays.get(entry, 0.0))
-    if state.faults.accept_only:
+    state.connections.add(request.protocol)
+    if state.faults.accept_only or request.protocol in state.silenced:
         await asyncio.sleep(3600)
     if state.faults.close_after_read and request.transport is not None:
         request.transport.close()
--- a/tests/features/backend_servers.feature
+++ b/tests/features/backend_servers.feature
@@ -26,3 +26,16 @@
       | reads and goes silent   | complete, unknown or no answer |
       | runs and goes silent    | complete, unknown or no answer |
       | sheds everything        | complete                       |
+
+  Scenario: Open connections to the servers go silent while new ones work
+    Guards against a booking whose outcome is lost on a pooled connection, and
+    against a pool that keeps silent connections.
+
+    Given callers of all failure domains send 60 requests per second
+    When 2 s pass
+    And all open connections to the servers go silent
+    And 4 s pass
+    And the load ends
+    Then every answer agrees with the servers' logs
+    And every booking was completed
+    And at least 9 of 10 calls were completed
--- a/tests/processes/test_backend_servers.py
+++ b/tests/processes/test_backend_servers.py
@@ -26,6 +26,13 @@
         world.do(world.deployment.set_server_faults(server, **FAULTS[misbehaves]))
 
 
+@when("all open connections to the servers go silent")
+def _(world):
+    for place in world.deployment.servers:
+        fault = {"silence_open_connections": True}
+        world.do(world.deployment.set_server_faults(place.server, **fault))
+
+
 @when("the servers are well again")
 def _(world):
     for server in faulty_servers(world):
@@ -54,3 +61,8 @@
 def _(world):
     complete = sum(result.outcome is CallOutcome.COMPLETE for result in world.results)
     assert complete >= 0.9 * len(world.results), world.outcomes()
+
+
+@then("every booking was completed")
+def _(world):
+    assert {key for key in world.not_complete() if key[0] == "bookings"} == set()
