--- a/knapweeddock/porcelain.py
+++ b/knapweeddock/porcelain.py
@@ -28,6 +28,7 @@
 from knapweeddock.headstore import fetch_document, read_head
 from knapweeddock.ids import Version
 from knapweeddock.model import Config
+from knapweeddock.moves import check_moves
 from knapweeddock.objectstore import ObjectStore
 from knapweeddock.publish import Current, Published, Publisher
 from knapweeddock.reports import (
@@ -120,6 +121,7 @@
         document = _with_drains_of(current, folder)
         if changes.diff(current.document, document):
             bases.check_base(base, current)
+            check_moves(current.document, folder)
         return document
 
     published = await session.publish(propose)
