Start waiting requests only when they can probably finish

Cause: above full load the queue starts the request that is nearest to its deadline.

Tried: the room that must be left is the service time plus two mean deviations (scaled to the class), checked on arrival, in the queue and at the start.

--- a/knapweeddock/dispatcher.py
+++ b/knapweeddock/dispatcher.py
@@ -211,6 +211,8 @@
         for work in queue or ():
             if work.start_by <= now:
                 self._give_up(work, work.late_code)
+            elif queue.ends_late(work, now):
+                self._give_up(work, ResultCode.WAIT_TOO_LONG)
             elif self._start(work, now):
                 queue.remove(work)
             elif not work.tried:
--- a/knapweeddock/queueing.py
+++ b/knapweeddock/queueing.py
@@ -10,6 +10,13 @@
 SERVICE_TIME_WEIGHT = 0.1
 """Weight of a new measurement in the moving average of the service time."""
 
+MARGIN_DEVIATIONS = 2.0
+"""Mean deviations above the service time for which work must leave room.
+
+With room for the mean alone, every second piece of work that starts last is
+cut off by its deadline and has used its slot in vain.
+"""
+
 
 @dataclass(order=True, kw_only=True, slots=True)
 class QueueEntry:
@@ -27,11 +34,13 @@
     Attributes:
         limit: Largest number of waiting requests.
         service_time_s: Moving average of the time that an attempt takes.
+        deviation_s: Moving average of how far the times are from it.
     """
 
     def __init__(self, *, limit: int, service_time_s: float) -> None:
         self.limit = limit
         self.service_time_s = service_time_s
+        self.deviation_s = 0.0
         self.entries: list[QueueEntry] = []
         self.pushed = 0
 
@@ -65,7 +74,9 @@
 
     def observe(self, service_time_s: float) -> None:
         """Take in the measured time of an answered attempt."""
-        self.service_time_s += SERVICE_TIME_WEIGHT * (service_time_s - self.service_time_s)
+        error = service_time_s - self.service_time_s
+        self.service_time_s += SERVICE_TIME_WEIGHT * error
+        self.deviation_s += SERVICE_TIME_WEIGHT * (abs(error) - self.deviation_s)
 
     def estimated_wait(self, position: int, running: int) -> float:
         """Return the expected wait in seconds behind ``position`` others.
@@ -89,7 +100,16 @@
         """Whether the expected wait leaves less than the class's service time."""
         wait = self.estimated_wait(position, running)
         starts_late = now + wait > work.start_by
-        return starts_late or wait > work.deadline - now - work.service_time_s
+        return starts_late or wait > work.deadline - now - self.margin(work)
+
+    def margin(self, work: Work) -> float:
+        """Return the time in seconds that must be left when ``work`` is started."""
+        spread = self.deviation_s / self.service_time_s if self.service_time_s > 0 else 0.0
+        return work.service_time_s * (1 + MARGIN_DEVIATIONS * spread)
+
+    def ends_late(self, work: Work, now: float) -> bool:
+        """Whether waiting ``work`` would probably miss its deadline if it started now."""
+        return now + self.margin(work) > work.deadline
 
 
 def _entry(work: Work, *, number: int) -> QueueEntry:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -60,3 +60,15 @@
     for _ in range(100):
         queue.observe(0.4)
     assert 0.39 < queue.estimated_wait(0, 1) <= 0.4
+
+
+def test_uneven_service_times_ask_for_more_room_before_the_deadline():
+    """With room for the mean alone, half of the last starts are cut off in vain."""
+    queue = make_queue()
+    for number in range(200):
+        queue.observe(0.05 if number % 2 else 0.15)
+    work = make_work(deadline=10.0)
+    margin = queue.margin(work)
+    assert 0.18 < margin < 0.22
+    assert queue.ends_late(work, 10.0 - margin + 0.001)
+    assert not queue.ends_late(work, 10.0 - margin - 0.001)
