Keep the newest configuration in the entry when its agent is behind

Cause: the entry took any state that its agent sent. An agent that has just restarted may hold an older configuration, so the entry's routing, its reported version and /ready went back. Slot accounting was not affected, since it ignores older versions by itself.

The entry now keeps the newer configuration, as look-up processes do, and asks for changed members only instead of all of them in every message.

--- a/knapweeddock/entry/agentlink.py
+++ b/knapweeddock/entry/agentlink.py
@@ -12,7 +12,7 @@
 from knapweeddock.entry.lending import CALL_ERRORS
 from knapweeddock.errors import MessageError
 from knapweeddock.ids import Incarnation, VmId
-from knapweeddock.nodestate import state_from_message
+from knapweeddock.nodestate import state_from_message, with_newest_config
 from knapweeddock.proto.knapweed_grpc import NodeStub
 from knapweeddock.proto.knapweed_pb2 import ReportRequest, SubscribeRequest
 from knapweeddock.state import MemberState, NodeState
@@ -101,7 +101,7 @@
         try:
             async with NodeStub(channel).Subscribe.open() as stream:
                 async with asyncio.timeout(self.silence_s):
-                    request = SubscribeRequest(vm=self.vm, role=ROLE)
+                    request = SubscribeRequest(vm=self.vm, role=ROLE, accepts_partial=True)
                     await stream.send_message(request, end=True)
                 while True:
                     async with asyncio.timeout(self.silence_s):
@@ -121,6 +121,7 @@
         self.previous = state
         if unchanged:
             return
+        state = with_newest_config(state, self.dispatch.node_state)
         self.dispatch.update(state)
         for listener in self.listeners:
             listener(state)
--- a/tests/entry/test_agentlink.py
+++ b/tests/entry/test_agentlink.py
@@ -82,6 +82,19 @@
         await until(lambda: service.loop_service.node_state.config_version == 2)
 
 
+async def test_an_agent_that_is_behind_does_not_take_the_configuration_back():
+    """Guards against a restarted agent that reverts an accepted configuration."""
+    async with agent_and_entry() as (agent, service, config):
+        await agent.send(message_of(service, config, 5))
+        await until(lambda: service.loop_service.node_state.config_version == 5)
+        behind = message_of(service, config_of([]), 3)
+        behind.members[0].member.load = 0.5
+        await agent.send(behind)
+        await until(lambda: service.loop_service.node_state.members["vm1"].load == 0.5)
+        assert service.loop_service.node_state.config_version == 5
+        assert service.loop_service.node_state.config.sites
+
+
 async def test_a_bad_message_replaces_the_stream():
     """Guards against a malformed message that ends the link for good."""
     async with agent_and_entry() as (agent, service, config):
@@ -90,6 +103,7 @@
         await agent.send(unchanged, subscription=2)
         await agent.send(message_of(service, config, 4), subscription=3)
         await until(lambda: service.loop_service.node_state.config_version == 4)
+        assert agent.subscriptions == 3
 
 
 async def test_an_own_down_record_ends_the_process():
@@ -99,3 +113,4 @@
         message.members[0].down = True
         await agent.send(message)
         await until(service.marked_down.is_set)
+        assert service.capacity.marked_down
--- a/tests/entry/test_stopping.py
+++ b/tests/entry/test_stopping.py
@@ -52,4 +52,5 @@
         call = asyncio.ensure_future(run.send("GET"))
         await until(lambda: run.service.sender.attempts)
         await run.service.finish_running()
+        assert not call.done()
         call.cancel()
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -89,7 +89,7 @@
             await super().put(key, value, expected_version=expected_version)
 
 
-async def race(seed: int, writers: int) -> None:
+async def check_race(seed: int, writers: int) -> None:
     store = FaultyStore(rng=random.Random(seed))
     outcomes: dict[str, object] = {}
 
@@ -129,7 +129,7 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(changes, "MAX_INLINE_BYTES", inline)
         patch.setattr(changes, "KEPT_INLINE_BYTES", inline // 2)
-        asyncio.run(race(seed, writers))
+        asyncio.run(check_race(seed, writers))
 
 
 async def test_lost_answer_is_recognised_by_the_own_id():
