--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -41,7 +41,6 @@
         return _last_resort(aside, now, exclude, within, lowest)
     best: Slot | None = None
     best_load = inf
-    end = 0 if lowest else -1
     for server, slots, record in healthy:
         if not slots or server in exclude:
             continue
@@ -52,7 +51,7 @@
         if load > best_load:
             continue
         warm = within is None and record.opened == ALL_SLOTS
-        slot = slots[end] if warm else _pick(slots, record, now, within, lowest)
+        slot = slots[0 if lowest else -1] if warm else _pick(slots, record, now, within, lowest)
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
             best = slot
             best_load = load
