Replace slow idempotent attempts on another server

Cause: a request on a server that reads and then goes silent waited for its whole deadline (3 s), because an attempt ended only by an answer, a broken connection or the deadline.

Ruled out: a fixed limit per attempt, which would also end attempts when no other server is free and turn slow answers into refusals; a second attempt beside the first, which takes two slots for one request.

A slow attempt is now cancelled and started on another server when a slot is free there and the retry budget allows.

The dispatcher's state machine ran nested events in the middle of an action list, which the entry's dispatch loop never does; it failed with a KeyError on the new pair of actions and now takes events in turn.

--- a/knapweeddock/attempts.py
+++ b/knapweeddock/attempts.py
@@ -117,12 +117,19 @@
         work = attempt.work
         work.attempt = None
         self.running_by_pool[work.pool] -= 1
-        match attempt.holder:
+        self._release(attempt.holder, outcome, now)
+        return attempt
+
+    def give_back(self, holder: Slot | Loan, now: float) -> None:
+        """Release what was acquired for an attempt that is not started."""
+        self._release(holder, SlotOutcome.UNUSED, now)
+
+    def _release(self, holder: Slot | Loan, outcome: SlotOutcome, now: float) -> None:
+        match holder:
             case Slot() as slot:
                 self.capacity.release(slot, outcome, now)
             case Loan() as loan:
                 self.capacity.release_loan(loan, now)
-        return attempt
 
     def running_in(self, pool: PoolId) -> int:
         """Return the number of running attempts in ``pool``."""
--- a/knapweeddock/dispatcher.py
+++ b/knapweeddock/dispatcher.py
@@ -45,6 +45,7 @@
 )
 from knapweeddock.queueing import PoolQueue
 from knapweeddock.retryafter import RetryAfter
+from knapweeddock.slowattempts import SlowAttempts
 from knapweeddock.state import NodeState
 from knapweeddock.verdicts import SLOT_OUTCOMES, judge
 
@@ -68,6 +69,7 @@
         self.retry_after = RetryAfter(settings=settings, rng=rng)
         self.admission = Admission(settings=settings, keys=idempotency)
         self.attempts = Attempts(capacity=capacity, incarnation=idempotency.incarnation)
+        self.slow = SlowAttempts(settings=settings, capacity=capacity, attempts=self.attempts)
         self.borrowing = Borrowing(
             settings=settings,
             capacity=capacity,
@@ -354,6 +356,8 @@
             self._reply(request, ResultCode.DEADLINE_DURING_RUN)
         for attempt in self.keys.expire():
             self.actions.append(ForgetAnswer(attempt=attempt))
+        for attempt in self.slow.find(self.queues, now):
+            self.actions += self.slow.replace(attempt, self._budget(attempt.work.service, now), now)
         for pool, queue in self.queues.items():
             if queue:
                 self._start_waiting(pool, now)
--- a/knapweeddock/dispatchsettings.py
+++ b/knapweeddock/dispatchsettings.py
@@ -53,6 +53,9 @@
         max_attempts: Attempts for one request, the first one included;
             refusals of lapsed grants do not count.
         retry_wait_s: Longest wait of a retry for a slot on another server.
+        min_patience_s: Shortest time after which an idempotent attempt counts as
+            slow and is replaced by one on another server.
+        patience_factor: The same as a multiple of the mean service time.
         max_borrow_calls: Calls to lenders per pool that may be outstanding.
         max_borrow_count: Largest number of slots asked for in one call.
         borrow_backoff_s: Time for which a lender that did not answer is left alone.
@@ -66,6 +69,8 @@
     max_budget_s: float = 300.0
     max_attempts: int = 3
     retry_wait_s: float = 0.25
+    min_patience_s: float = 0.25
+    patience_factor: float = 4.0
     max_borrow_calls: int = 3
     max_borrow_count: int = 8
     borrow_backoff_s: float = 1.0
--- a/tests/test_dispatcher_fuzz.py
+++ b/tests/test_dispatcher_fuzz.py
@@ -4,7 +4,7 @@
 started, and judges every answer by that log.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, replace
 
 from hypothesis import HealthCheck, Phase, settings
@@ -64,11 +64,26 @@
         self.flights, self.under_grant, self.answers = {}, {}, {}
         self.borrows, self.grant_slots = {}, {}
         self.starts = Counter()
+        self.steps, self.stepping = deque(), False
 
     def handle(self, entry, event):
+        self.run_in_turn(lambda: self.take_in(entry, event))
+
+    def take_in(self, entry, event):
         for action in self.rigs[entry].handle(event):
             self.act(entry, action)
 
+    def run_in_turn(self, step):
+        """Run a step after those under way: an event waits until the actions of the
+        one before have been carried out, as in the entry's dispatch loop."""
+        self.steps.append(step)
+        if self.stepping:
+            return
+        self.stepping = True
+        while self.steps:
+            self.steps.popleft()()
+        self.stepping = False
+
     def act(self, entry, action):
         match action:
             case events.SendToServer() | events.SendToEntry():
@@ -128,7 +143,7 @@
         self.handle(flight.entry, ended)
         request = flight.send.request
         if self.arrivals[request].key is None or request in self.under_grant:
-            self.answers.pop(attempt, None)
+            self.run_in_turn(lambda: self.answers.pop(attempt, None))
 
     def close_forwarded(self, flight):
         if flight.forwarded in self.open:
--- /dev/null
+++ b/tests/test_slowattempts.py
@@ -0,0 +1,54 @@
+"""Slow attempts: guards against a silent server that uses up a request's deadline."""
+
+from knapweeddock import events
+from knapweeddock.dispatchsettings import BudgetLimits, DispatchSettings
+
+from .dispatching import Rig
+
+
+def tick_after(rig, seconds):
+    rig.clock.advance(seconds)
+    return rig.handle(events.Tick())
+
+
+def test_slow_attempt_is_cancelled_and_started_on_another_server():
+    rig = Rig()
+    [first] = rig.arrive()
+    assert tick_after(rig, 0.2) == []
+    cancel, second = tick_after(rig, 0.1)
+    assert cancel == events.CancelAttempt(attempt=first.attempt)
+    assert second.request == first.request
+    assert second.slot.server != first.slot.server
+    assert rig.capacity.held_count == 1
+    assert rig.end(second.attempt)[0] == events.Deliver(request="r1", attempt=second.attempt)
+
+
+def test_non_idempotent_attempt_is_never_replaced():
+    """Guards against a booking that is started twice because the first try is slow."""
+    rig = Rig()
+    rig.book()
+    assert tick_after(rig, 3.0) == []
+
+
+def test_slow_attempt_goes_on_without_a_free_slot_or_budget():
+    """Guards against giving up a running attempt for a place in a queue."""
+    alone = Rig(servers=1)
+    alone.arrive()
+    assert tick_after(alone, 1.0) == []
+    no_retries = DispatchSettings(retries=BudgetLimits(ratio=0.0, floor_per_s=0.0))
+    poor = Rig(settings=no_retries)
+    poor.arrive()
+    assert tick_after(poor, 1.0) == []
+    assert poor.capacity.held_count == 1
+
+
+def test_loan_is_given_more_time_than_an_own_slot():
+    """The lender replaces first, since it knows which server is slow."""
+    rig = Rig(servers=0)
+    rig.lend("g1", 1)
+    [first] = rig.arrive()
+    rig.lend("g2", 1)
+    assert tick_after(rig, 0.4) == []
+    cancel, second = tick_after(rig, 0.2)
+    assert cancel.attempt == first.attempt
+    assert second.loan.grant == "g2"
