Connect to IPv4 addresses without name resolution and happy eyeballs

Cause: opening a fresh connection went through aiohttp's resolver, address cache, aiohappyeyeballs and two nested timeouts before the socket was made; a server's address is nearly always an IPv4 literal with nothing to race. Names still take the library's way. Ruled out: headers and body in several writes (they leave together), a missing TCP_NODELAY (asyncio sets it).

--- a/knapweeddock/entry/httpclient.py
+++ b/knapweeddock/entry/httpclient.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import aiohttp
 import structlog
 from aiohttp import ClientRequest, ClientResponse, ClientTimeout, hdrs
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -37,6 +39,8 @@
 AUTOMATIC_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.CONTENT_TYPE)
 """Headers that aiohttp would add to a request that lacks them."""
 
+_IPV4 = re.compile(r"[0-9]+(\.[0-9]+){3}")
+
 Commit = Callable[[StreamedAnswer], bool]
 
 
@@ -101,6 +105,19 @@
                 return connection
             connection.close()
 
+    async def _create_connection(
+        self, req: ClientRequest, traces: list, timeout: ClientTimeout
+    ) -> ResponseHandler:
+        """Connect to an IPv4 address without name resolution and its races."""
+        host = req.url.host or ""
+        if not _IPV4.fullmatch(host):
+            return await super()._create_connection(req, traces, timeout)
+        try:
+            _, protocol = await self._loop.create_connection(self._factory, host, req.url.port)
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        return protocol
+
 
 @dataclass(kw_only=True, eq=False, slots=True)
 class Pool:
