Let an entry open connections ahead for non-idempotent requests

Cause: a non-idempotent request waits for its fresh connection to be opened and accepted. A spare connection, never used before and used once, takes this off the request's way. The setting spare_idle_s is therefore 0 (off) by default.

--- a/bench/entry_alone.py
+++ b/bench/entry_alone.py
@@ -3,7 +3,8 @@
 The arguments are the addresses of the backend servers. The process prints its
 address and incarnation as one JSON line. Each line on its standard input is
 answered with the processor seconds that it has used; the end of the input
-stops it. With ``KNAPWEED_PROFILE=FILE`` it writes a cProfile record.
+stops it. With ``KNAPWEED_PROFILE=FILE`` it writes a cProfile record;
+``KNAPWEED_SPARE_IDLE_S`` sets ``spare_idle_s``.
 """
 
 import asyncio
@@ -17,7 +18,7 @@
 from knapweeddock.ids import FailureDomainId, VmId
 from knapweeddock.logs import configure_logs
 from knapweeddock.model import BackendServer, Config, RequestClass, Service, Site
-from knapweeddock.settings import EntryListen, EntrySettings
+from knapweeddock.settings import EntryLimits, EntryListen, EntrySettings
 from knapweeddock.state import Member, MemberState, NodeState
 
 HOST = "ledger.test"
@@ -73,6 +74,7 @@
         failure_domain=FailureDomainId(DOMAIN),
         listen=EntryListen(host="127.0.0.1"),
         agent=UNUSED_AGENT,
+        limits=EntryLimits(spare_idle_s=float(os.environ.get("KNAPWEED_SPARE_IDLE_S", "0"))),
     )
     service = EntryService(settings=settings, takeover_delay_s=0.0)
     await service.start()
--- a/knapweeddock/entry/httpclient.py
+++ b/knapweeddock/entry/httpclient.py
@@ -6,18 +6,17 @@
 """
 
 import asyncio
-import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import aiohttp
 import structlog
 from aiohttp import ClientRequest, ClientResponse, ClientTimeout, hdrs
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
 from knapweeddock.entry import headers as names
+from knapweeddock.entry.connectors import CleanConnector, SpareConnector
 from knapweeddock.entry.messages import (
     BufferedAnswer,
     CallResult,
@@ -34,13 +33,16 @@
 CONNECT_MARGIN_S = 0.005
 """A connect ends this much before the deadline, so that it counts as refused."""
 
+CONNECTION_FAULTS = frozenset(
+    {AttemptOutcome.REFUSED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT}
+)
+"""Outcomes after which other connections to the server are not trusted either."""
+
 BODYLESS_STATUS = frozenset({204, 304})
 
 AUTOMATIC_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.CONTENT_TYPE)
 """Headers that aiohttp would add to a request that lacks them."""
 
-_IPV4 = re.compile(r"[0-9]+(\.[0-9]+){3}")
-
 Commit = Callable[[StreamedAnswer], bool]
 
 
@@ -87,38 +89,6 @@
         raise ConnectionLost(str(error)) from error
 
 
-class CleanConnector(aiohttp.TCPConnector):
-    """Never reuses a connection on which data arrived while it was idle.
-
-    Such data is a late answer to an earlier request; aiohttp would take it
-    for the answer to the next one.
-    """
-
-    async def connect(
-        self, req: ClientRequest, traces: list, timeout: ClientTimeout
-    ) -> aiohttp.connector.Connection:
-        """Return a connection that holds no unread data."""
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            protocol = connection.protocol
-            if protocol is not None and not protocol.should_close:
-                return connection
-            connection.close()
-
-    async def _create_connection(
-        self, req: ClientRequest, traces: list, timeout: ClientTimeout
-    ) -> ResponseHandler:
-        """Connect to an IPv4 address without name resolution and its races."""
-        host = req.url.host or ""
-        if not _IPV4.fullmatch(host):
-            return await super()._create_connection(req, traces, timeout)
-        try:
-            _, protocol = await self._loop.create_connection(self._factory, host, req.url.port)
-        except OSError as error:
-            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
-        return protocol
-
-
 @dataclass(kw_only=True, eq=False, slots=True)
 class Pool:
     """The reusable connections to one receiver.
@@ -137,12 +107,22 @@
 class HttpClient:
     """Sends calls and classifies how they end."""
 
-    def __init__(self, *, buffer_limit: int, header_limit: int, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        buffer_limit: int,
+        header_limit: int,
+        connect_timeout_s: float,
+        spare_idle_s: float = 0.0,
+    ) -> None:
         self.buffer_limit = buffer_limit
         self.header_limit = header_limit
         self.connect_timeout_s = connect_timeout_s
         self.pools: dict[str, Pool] = {}
-        self.fresh = self._session(force_close=True)
+        self.spares = SpareConnector(
+            limit=0, force_close=True, idle_s=spare_idle_s, connect_timeout_s=connect_timeout_s
+        )
+        self.fresh = self._session(self.spares)
         self.closing: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -150,6 +130,7 @@
         for pool in self.pools.values():
             await pool.session.close()
         self.pools.clear()
+        self.spares.drop_spares()
         await self.fresh.close()
         if self.closing:
             await asyncio.wait(self.closing)
@@ -158,6 +139,7 @@
         """Drop the pools to receivers outside ``addresses``."""
         for address in self.pools.keys() - addresses:
             self.drop_pool(address)
+        self.spares.keep_only(addresses)
 
     def drop_pool(self, address: str) -> None:
         """Close the idle connections to a receiver; running calls finish."""
@@ -178,10 +160,13 @@
             How the call ended. A cancelled call closes its connection.
         """
         if not call.idempotent:
-            return await self._bounded(self.fresh, call, commit)
+            result = await self._bounded(self.fresh, call, commit)
+            if result.outcome in CONNECTION_FAULTS:
+                self.spares.drop(call.address)
+            return result
         pool = self.pools.get(call.address)
         if pool is None:
-            pool = self.pools[call.address] = Pool(session=self._session(force_close=False))
+            pool = self.pools[call.address] = Pool(session=self._session(self._pooling()))
         pool.users += 1
         try:
             result = await self._bounded(pool.session, call, commit)
@@ -259,10 +244,12 @@
         )
         return CallResult(outcome=AttemptOutcome.ANSWERED, answer=answer, answer_bytes=size)
 
-    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
-        options = {} if force_close else {"keepalive_timeout": IDLE_S}
+    def _pooling(self) -> CleanConnector:
+        return CleanConnector(limit=0, keepalive_timeout=IDLE_S)
+
+    def _session(self, connector: CleanConnector) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
-            connector=CleanConnector(limit=0, force_close=force_close, **options),
+            connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=AUTOMATIC_HEADERS,
--- a/knapweeddock/entry/service.py
+++ b/knapweeddock/entry/service.py
@@ -147,6 +147,7 @@
             buffer_limit=limits.buffer_limit,
             header_limit=limits.header_limit,
             connect_timeout_s=limits.connect_timeout_s,
+            spare_idle_s=limits.spare_idle_s,
         )
         self.lending_client = LendingClient(timeout_s=limits.borrow_timeout_s)
         self.sender = Sender(
--- a/knapweeddock/settings.py
+++ b/knapweeddock/settings.py
@@ -106,6 +106,8 @@
         kept_answer_limit: Largest answer in bytes kept for repeated keys.
         body_timeout_s: Longest time that reading a request body may take.
         connect_timeout_s: Longest time to connect to a server or entry.
+        spare_idle_s: Longest time that a connection which was opened ahead for a
+            non-idempotent request waits for its use; 0 opens none.
         borrow_timeout_s: Longest time to wait for a lender.
         probe_interval_s: Time between two probes of a server.
         probe_timeout_s: Longest time that a probe may take.
@@ -124,6 +126,7 @@
     kept_answer_limit: Count = 64 * KIB
     body_timeout_s: Seconds = 10.0
     connect_timeout_s: Annotated[float, msgspec.Meta(gt=0, le=1)] = 1.0
+    spare_idle_s: Annotated[float, msgspec.Meta(ge=0, le=5)] = 0.0
     borrow_timeout_s: Seconds = 0.5
     probe_interval_s: Seconds = 2.0
     probe_timeout_s: Seconds = 1.0
