Skip span and context objects for requests without trace context

Cause: with the exporter "none" each request still built two contexts and two spans, entered a generator twice and called the propagator, to write nothing. Context that a caller sends is passed on as before.

--- a/knapweeddock/tracing.py
+++ b/knapweeddock/tracing.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator, Mapping, MutableMapping
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 from typing import TextIO
 
 from opentelemetry import trace
@@ -21,7 +21,7 @@
     SpanExporter,
 )
 from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace import NonRecordingSpan, Span, SpanKind
+from opentelemetry.trace import INVALID_SPAN, NonRecordingSpan, Span, SpanKind
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from knapweeddock.settings import TracingSettings
@@ -32,6 +32,9 @@
 MAX_QUEUED_SPANS = 2048
 """Spans that wait for export; more are dropped rather than held in memory."""
 
+_NO_CONTEXT = Context()
+"""Shared by all requests without trace context; contexts are immutable."""
+
 _propagator = TraceContextTextMapPropagator()
 
 
@@ -88,16 +91,17 @@
             headers: Headers with case-insensitive names.
         """
         if "traceparent" not in headers:
-            return Context()
+            return _NO_CONTEXT
         return _propagator.extract(headers, context=Context(), getter=_getter)
 
     def inject(self, span: Span, headers: MutableMapping[str, str]) -> None:
         """Write the context of ``span`` into the headers of an outgoing request."""
-        context = trace.set_span_in_context(span, Context())
+        if span is INVALID_SPAN:
+            return
+        context = trace.set_span_in_context(span, _NO_CONTEXT)
         _propagator.inject(headers, context=context)
 
-    @contextmanager
-    def span(self, name: str, kind: SpanKind, parent: Context) -> Iterator[Span]:
+    def span(self, name: str, kind: SpanKind, parent: Context) -> AbstractContextManager[Span]:
         """Record a hop while the body of the ``with`` statement runs.
 
         Args:
@@ -105,9 +109,14 @@
             kind: Whether a request is handled or sent.
             parent: Context of the hop before.
         """
-        if not self.recording:
-            yield NonRecordingSpan(trace.get_current_span(parent).get_span_context())
-            return
+        if self.recording:
+            return self._recorded(name, kind, parent)
+        if not parent:
+            return nullcontext(INVALID_SPAN)
+        return nullcontext(NonRecordingSpan(trace.get_current_span(parent).get_span_context()))
+
+    @contextmanager
+    def _recorded(self, name: str, kind: SpanKind, parent: Context) -> Iterator[Span]:
         span = self.tracer.start_span(name, context=parent, kind=kind)
         try:
             yield span
@@ -119,7 +128,9 @@
 
     def context_of(self, span: Span) -> Context:
         """Return the context whose current span is ``span``."""
-        return trace.set_span_in_context(span, Context())
+        if span is INVALID_SPAN:
+            return _NO_CONTEXT
+        return trace.set_span_in_context(span, _NO_CONTEXT)
 
     def close(self) -> None:
         """Export what is queued and stop; blocks for at most the exporter's timeout."""
