Add up the counts of requests until the metrics are read

Cause: the collectors check the label names and encode the labels as JSON twice at each call, three calls per request. The histogram of a port is now looked up once, and counts are handed over when the metrics are read.

--- a/knapweeddock/entry/entrymetrics.py
+++ b/knapweeddock/entry/entrymetrics.py
@@ -1,4 +1,13 @@
-"""Metrics of the entry daemon."""
+"""Metrics of the entry daemon.
+
+The collectors check and encode the labels at each call. Counts of requests
+are therefore added up here and handed over when the metrics are read, and
+the histogram of each port is kept.
+"""
+
+from collections import Counter
+
+from aioprometheus.histogram import Histogram
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.events import AttemptOutcome
@@ -29,14 +38,34 @@
         self.kept = self.process.gauge("knapweed_kept_answers", "Answers kept for repeated keys.")
         self.load = self.process.gauge("knapweed_load", "Busy fraction of the entry's own slots.")
 
+        self.answers: Counter[tuple[str, ResultCode]] = Counter()
+        self.ends: Counter[tuple[str, AttemptOutcome]] = Counter()
+        self.durations: dict[str, Histogram] = {}
+        self.process.before_reading = self.flush
+
     def answered(self, port: str, code: ResultCode, seconds: float) -> None:
         """Count an answered request."""
-        self.requests.inc({"port": port, "code": str(int(code))})
-        self.request_seconds.observe({"port": port}, seconds)
+        self.answers[port, code] += 1
+        durations = self.durations.get(port)
+        if durations is not None:
+            durations.observe(seconds)
+            return
+        labels = {"port": port}
+        self.request_seconds.observe(labels, seconds)
+        self.durations[port] = self.request_seconds.get_value(labels)
 
     def attempted(self, receiver: str, outcome: AttemptOutcome) -> None:
         """Count an attempt that ended."""
-        self.attempts.inc({"receiver": receiver, "outcome": outcome.value})
+        self.ends[receiver, outcome] += 1
+
+    def flush(self) -> None:
+        """Hand over to the collectors what was added up."""
+        for (port, code), count in self.answers.items():
+            self.requests.add({"port": port, "code": str(int(code))}, count)
+        for (receiver, outcome), count in self.ends.items():
+            self.attempts.add({"receiver": receiver, "outcome": outcome.value}, count)
+        self.answers.clear()
+        self.ends.clear()
 
     def observe_loop(self, *, pending: int, kept: int, load: float) -> None:
         """Take in the state of the dispatch loop."""
--- a/knapweeddock/metrics.py
+++ b/knapweeddock/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a process and the handler that serves them."""
 
+from collections.abc import Callable
+
 from aiohttp import hdrs, web
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -14,11 +16,15 @@
 
     Each process has a registry of its own rather than the library's global
     one, so that two processes' parts can run in one test.
+
+    Attributes:
+        before_reading: Brings the collectors up to date.
     """
 
     def __init__(self, *, process: str, vm: str) -> None:
         self.registry = Registry()
         self.labels = {"process": process, "vm": vm}
+        self.before_reading: Callable[[], None] = lambda: None
 
     def counter(self, name: str, meaning: str) -> Counter:
         """Return a new counter."""
@@ -42,5 +48,6 @@
         """Answer a request for ``/metrics``."""
         if request.path != METRICS_PATH:
             return web.Response(status=404, text=f"Only {METRICS_PATH} is served here.\n")
+        self.before_reading()
         content, headers = render(self.registry, request.headers.getall(hdrs.ACCEPT, []))
         return web.Response(body=content, headers=headers)
--- a/tests/entry/test_process.py
+++ b/tests/entry/test_process.py
@@ -14,12 +14,27 @@
 
 
 async def test_metrics_count_answers_and_attempts():
-    """Guards against a metrics port that serves nothing."""
+    """Guards against a metrics port that serves nothing, or counts twice or not at all."""
     async with serving(ok) as run:
+
+        async def read():
+            url = f"http://{run.service.ports.metrics.address}/metrics"
+            async with run.caller.session.get(url) as response:
+                return await response.text()
+
+        await run.send("GET")
+        text = await read()
         await run.send("GET")
-        url = f"http://{run.service.ports.metrics.address}/metrics"
-        async with run.caller.session.get(url) as response:
-            text = await response.text()
+        await run.send("GET")
+        await read()
+        later = await read()
+    labels = 'port="public",process="knapweed-entry",vm="vm1"} 3'
+    assert f'knapweed_requests_total{{code="0",{labels}' in later
+    assert f"knapweed_request_seconds_count{{{labels}" in later
+    assert (
+        'knapweed_attempts_total{outcome="answered",process="knapweed-entry",receiver="server",'
+        'vm="vm1"} 3'
+    ) in later
     assert (
         'knapweed_requests_total{code="0",port="public",process="knapweed-entry",vm="vm1"} 1'
         in text
