Keep large block tables in objects of their own

3 million client blocks do not fit in the configuration document of 900 KB. Block files (blocks/*.txt, merged by name) are now read, checked, cut by address range and stored under blocks/<digest> before the head; the document holds block_chunks, the list of chunks by range.

The list is an object keyed by range, not an array: a merge patch replaces an array as a whole (45 KB for 512 chunks), while one changed chunk is a patch of about 200 bytes.

Deletion of old chunks: deleting what the writer's own two lists do not name was ruled out, because another writer may name the same content again between its check and the deletion. A chunk is first recorded as retired in an accepted document and deleted only after the list that follows; a writer never names a retired digest (it raises the generation in the encoding). The conditional update of the head then orders both.

--- a/knapweeddock/checks.py
+++ b/knapweeddock/checks.py
@@ -27,6 +27,9 @@
 """Parts without which no request can be served; a folder without them is an
 incomplete copy, and applying it would stop all service."""
 
+WRITTEN_PARTS = ("block_chunks", "retired_chunks")
+"""Parts of the document that ``apply`` derives from the block files."""
+
 MAX_LISTED_NAMES = 20
 
 Seen = dict[object, Path]
@@ -46,12 +49,20 @@
             show(DRAINS),
             "drains are set by 'knapweed drain' and removed by 'knapweed undrain'",
         )
+    for part in WRITTEN_PARTS:
+        if part in folder.document:
+            allowed = "no such field; 'knapweed apply' writes it from blocks/*.txt"
+            walk.report(ResultCode.UNKNOWN_FIELD, (part,), show(part), allowed)
     for part in REQUIRED_PARTS:
         if not folder.document.get(part):
             walk.report(ResultCode.MISSING_FIELD, (part,), "nothing", "at least one item")
-    rest = {key: value for key, value in folder.document.items() if key != DRAINS}
+    rest = {
+        key: value for key, value in folder.document.items() if key not in (DRAINS, *WRITTEN_PARTS)
+    }
     config = decode_config(walk.usable(rest, Config))
-    _Checks(document=rest, config=config, walk=walk).run()
+    checks = _Checks(document=rest, config=config, walk=walk)
+    checks.run()
+    walk.problems += folder.blocks.check_locations(checks.regions | checks.domains)
     try:
         check_size(rest)
     except ConfigError as error:
--- a/knapweeddock/folder.py
+++ b/knapweeddock/folder.py
@@ -9,6 +9,7 @@
 from pathlib import Path as FilePath
 
 from knapweeddock import jsonc
+from knapweeddock.blockfiles import BlockFiles, read_block_files
 from knapweeddock.changes import Document
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
@@ -29,12 +30,14 @@
         document: The merged document.
         origins: The file that set each path last; for an object, the file
             that first named it.
+        blocks: The merged block files.
     """
 
     directory: FilePath
     files: list[str]
     document: Document
     origins: dict[Path, str] = field(repr=False)
+    blocks: BlockFiles = field(default_factory=BlockFiles, repr=False)
 
     def origin(self, path: Path) -> str:
         """Return the file that set ``path`` or the nearest object around it."""
@@ -46,7 +49,8 @@
 def read_folder(directory: FilePath) -> Folder:
     """Read and merge all files of ``directory``.
 
-    Files with other suffixes, hidden files and subfolders are not read.
+    Files with other suffixes, hidden files and subfolders are not read, except
+    the block files.
 
     Raises:
         ExceptionGroup: All files' problems, each one a ``Problem``.
@@ -55,13 +59,15 @@
     files = _list_files(directory)
     for file in files:
         merger.add_file(file)
-    if merger.problems:
-        raise_problems(merger.problems)
+    blocks, problems = read_block_files(directory)
+    if merger.problems or problems:
+        raise_problems([*merger.problems, *problems])
     return Folder(
         directory=directory,
         files=[file.name for file in files],
         document=merger.document,
         origins=merger.origins,
+        blocks=blocks,
     )
 
 
--- a/knapweeddock/model.py
+++ b/knapweeddock/model.py
@@ -151,6 +151,22 @@
     entries: int = 4
 
 
+@dataclass(frozen=True, kw_only=True)
+class BlockChunk:
+    """One chunk of the block tables, stored as an object of its own.
+
+    Attributes:
+        digest: Digest of the encoded chunk, which is part of its key.
+        count: Number of blocks.
+        generation: Number that the encoding holds, so that a chunk whose
+            digest is being deleted is created again under another one.
+    """
+
+    digest: str
+    count: int
+    generation: int = 0
+
+
 @dataclass(frozen=True, kw_only=True)
 class Config:
     """The whole configuration.
@@ -161,7 +177,9 @@
         services: Services by name.
         sites: Sites by name.
         client_blocks: Location of client address blocks: CIDR prefix to a
-            failure domain or region.
+            failure domain or region. They override the block tables.
+        block_chunks: Chunks of the block tables by address range.
+        retired_chunks: Chunks that are no longer named, see ``blockchunks``.
         drains: What is taken out of service.
         lookup: How look-ups are answered.
     """
@@ -171,6 +189,8 @@
     services: dict[ServiceId, Service] = field(default_factory=dict)
     sites: dict[SiteId, Site] = field(default_factory=dict)
     client_blocks: dict[str, str] = field(default_factory=dict)
+    block_chunks: dict[str, BlockChunk] = field(default_factory=dict)
+    retired_chunks: dict[str, int] = field(default_factory=dict)
     drains: Drains = field(default_factory=Drains)
     lookup: LookupPolicy = field(default_factory=LookupPolicy)
 
--- a/knapweeddock/porcelain.py
+++ b/knapweeddock/porcelain.py
@@ -11,6 +11,7 @@
 from knapweeddock import base as bases
 from knapweeddock import changes
 from knapweeddock.base import Base
+from knapweeddock.blockstore import ChunkWriter
 from knapweeddock.changes import Document
 from knapweeddock.checks import DRAINS, check_folder, config_of
 from knapweeddock.clock import Clock, SystemClock
@@ -30,7 +31,7 @@
 from knapweeddock.model import Config
 from knapweeddock.moves import check_moves
 from knapweeddock.objectstore import ObjectStore
-from knapweeddock.publish import Current, Published, Publisher
+from knapweeddock.publish import Companion, Current, Published, Publisher
 from knapweeddock.reports import (
     ChangeReport,
     CheckReport,
@@ -68,12 +69,23 @@
     clock: Clock = field(default_factory=SystemClock)
     sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
 
-    async def publish(self, propose: Callable[[Current], Document]) -> Published:
+    async def publish(
+        self, propose: Callable[[Current], Document], companion: Companion | None = None
+    ) -> Published:
         """Publish a change of this operator."""
         publisher = Publisher(
             store=self.store, operator=self.operator, clock=self.clock, sleep=self.sleep
         )
-        return await publisher.publish(propose)
+        return await publisher.publish(propose, companion)
+
+    def chunk_writer(self, folder: Folder) -> ChunkWriter:
+        """Return the writer of a folder's block tables."""
+        return ChunkWriter(
+            store=self.store,
+            families=folder.blocks.families,
+            clock=self.clock,
+            sleep=self.sleep,
+        )
 
 
 def check(directory: Path) -> CheckReport:
@@ -85,7 +97,9 @@
     folder = read_folder(directory)
     config = check_folder(folder)
     return CheckReport(
-        directory=directory, files=folder.files, counts=_counts(config, folder.document)
+        directory=directory,
+        files=[*folder.files, *(f"blocks/{name}" for name in folder.blocks.files)],
+        counts=_counts(config, folder),
     )
 
 
@@ -117,14 +131,16 @@
     else:
         base = Base(version=base_version, platform=session.platform)
 
+    writer = session.chunk_writer(folder)
+
     def propose(current: Current) -> Document:
-        document = _with_drains_of(current, folder)
+        document = writer.with_chunks(current.document, _with_drains_of(current, folder))
         if changes.diff(current.document, document):
             bases.check_base(base, current)
             check_moves(current.document, folder)
         return document
 
-    published = await session.publish(propose)
+    published = await session.publish(propose, writer)
     warnings = _remember(session, directory, published.version, published.document)
     return await _report(session, published, wait_s, warnings)
 
@@ -140,10 +156,12 @@
     check_folder(folder)
     base = bases.read_base(directory, platform=session.platform)
     current = await read_current(session.store)
+    writer = session.chunk_writer(folder)
+    document = writer.with_chunks(current.document, _with_drains_of(current, folder))
     warnings = _remember(session, directory, current.head.version, current.document)
     return DiffReport(
         version=current.head.version,
-        patch=changes.diff(current.document, _with_drains_of(current, folder)),
+        patch=changes.diff(current.document, document),
         base_version=base.version,
         others=bases.listed_changes(base.version, current.head),
         warnings=warnings,
@@ -334,7 +352,7 @@
     ]
 
 
-def _counts(config: Config, document: Document) -> Counts:
+def _counts(config: Config, folder: Folder) -> Counts:
     return Counts(
         regions=len(config.regions),
         failure_domains=sum(len(region.failure_domains) for region in config.regions.values()),
@@ -342,6 +360,6 @@
         classes=sum(len(service.classes) for service in config.services.values()),
         sites=len(config.sites),
         servers=sum(len(site.servers) for site in config.sites.values()),
-        client_blocks=len(config.client_blocks),
-        document_bytes=len(changes.encode(document)),
+        client_blocks=len(config.client_blocks) + folder.blocks.count,
+        document_bytes=len(changes.encode(folder.document)),
     )
--- a/knapweeddock/publish.py
+++ b/knapweeddock/publish.py
@@ -50,6 +50,19 @@
 """
 
 
+class Companion:
+    """Work on other objects that accompanies a change; this one has none."""
+
+    async def before(self, current: Current) -> None:
+        """Prepare for ``Propose``, which is called next, with the same head."""
+
+    async def prepare(self) -> None:
+        """Write what the proposed document refers to, before the head."""
+
+    async def finish(self) -> None:
+        """Remove what is no longer referred to, after the head was accepted."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Published:
     """Result of ``Publisher.publish``.
@@ -117,9 +130,13 @@
         self.sleep = sleep
         self.max_tries = max_tries
 
-    async def publish(self, propose: Propose) -> Published:
+    async def publish(self, propose: Propose, companion: Companion | None = None) -> Published:
         """Publish the document that ``propose`` returns.
 
+        Args:
+            propose: Returns the document.
+            companion: Work on other objects, done again in each try.
+
         Returns:
             The accepted change, or the current version when there is no
             difference.
@@ -137,7 +154,7 @@
             if last_error is not None:
                 await self.sleep(self._backoff_s(number, last_error))
             try:
-                return await self._try_once(attempt, propose)
+                return await self._try_once(attempt, propose, companion or Companion())
             except StoreError as error:
                 last_error = error
         assert last_error is not None
@@ -165,19 +182,22 @@
             raise StoreUnavailable(f"nothing was changed: {last_error}") from last_error
         raise last_error
 
-    async def _try_once(self, attempt: _Try, propose: Propose) -> Published:
+    async def _try_once(self, attempt: _Try, propose: Propose, companion: Companion) -> Published:
         stored = await read_head(self.store)
         accepted = attempt.accepted_in(stored)
         if accepted is not None:
             return accepted
         base = await fetch_document(self.store, stored.head)
-        document = propose(Current(head=stored.head, document=base.document))
+        current = Current(head=stored.head, document=base.document)
+        await companion.before(current)
+        document = propose(current)
         patch = changes.diff(base.document, document)
         if not patch:
             return Published(
                 version=stored.head.version, change_id=None, patch={}, document=document
             )
         changes.check_size(document)
+        await companion.prepare()
         change = Change(
             version=Version(stored.head.version + 1),
             change_id=attempt.change_id,
@@ -189,6 +209,7 @@
             version=change.version, change_id=change.change_id, patch=patch, document=document
         )
         await self._write(attempt.doubted, attempt, stored, change)
+        await companion.finish()
         return attempt.doubted
 
     async def _write(
--- a/knapweeddock/schema.py
+++ b/knapweeddock/schema.py
@@ -29,6 +29,8 @@
 )
 from knapweeddock.model import (
     BackendServer,
+    BlockChunk,
+    Config,
     Link,
     LookupPolicy,
     Region,
@@ -76,6 +78,9 @@
     (Site, "shares"): Limit(low=0, high=MAX_REQUESTS),
     (Site, "shift_start"): Limit(low=0, high=1),
     (Site, "shift_growth_per_s"): Limit(low=0.001, high=10),
+    (BlockChunk, "count"): Limit(low=1, high=MAX_REQUESTS),
+    (BlockChunk, "generation"): Limit(low=0, high=MAX_REQUESTS),
+    (Config, "retired_chunks"): Limit(low=0, high=2**53),
     (LookupPolicy, "lifetime_ms"): Limit(low=100, high=MAX_TIME_MS),
     (LookupPolicy, "entries"): Limit(low=1, high=16),
 }
