Fetch chunks of the block tables from peers and from the platform

Agents follow the list of chunks in the configuration document and fetch the missing ones. Order: two random peers of the domain and one of its watchers, then, for watchers, the platform, then a peer of another domain. The two watchers of a domain divide the chunks between them in the first pass, so that one changed chunk costs about one platform call per domain instead of two. Asking all watchers at once was ruled out: with 93 domains a new table of 512 chunks would cost 95,000 reads, 47 s of the platform's whole rate.

Content is verified by its digest whatever its source. A failed platform call ends the pass, because hundreds of chunks would each wait for the timeout. Known limit: when all agents restart during an outage, the document comes back from local processes, the chunks do not; look-up processes go on with the tables that they have built.

--- /dev/null
+++ b/knapweeddock/agent/chunkfetch.py
@@ -0,0 +1,178 @@
+"""Fetches missing chunks of the block tables from peers and from the platform.
+
+A peer of the own domain is asked first. Watchers then ask the platform, each
+for its own part of the chunks at first, so that a new chunk costs about one
+call per domain. While the platform is down, a watcher asks another domain,
+which helps a domain that lost everything.
+"""
+
+import asyncio
+import random
+
+import structlog
+
+from knapweeddock import blockchunks
+from knapweeddock.agent.core import AgentCore
+from knapweeddock.agent.platform import CALL_LIMIT_S, CallLog, is_watcher
+from knapweeddock.errors import (
+    ConfigError,
+    KnapweedError,
+    MessageError,
+    PeerUnavailable,
+    StoreError,
+    StoreUnavailable,
+)
+from knapweeddock.ids import VmId
+from knapweeddock.objectstore import ObjectStore
+from knapweeddock.proto.knapweed_pb2 import FetchChunkRequest
+from knapweeddock.rendezvous import hash_parts
+from knapweeddock.spread import watchers
+
+MAX_FETCHES = 4
+"""Concurrent fetches of one agent."""
+
+RANDOM_PEERS = 2
+"""Peers asked for a chunk in one pass, besides one watcher of the domain."""
+
+log = structlog.get_logger(__name__)
+
+
+class ChunkFetcher:
+    """Brings the chunks that the newest configuration names.
+
+    Attributes:
+        progressed: Whether the last step brought a chunk or a new list.
+        last_error: The last failure of the last step.
+    """
+
+    def __init__(self, *, core: AgentCore, store: ObjectStore, rng: random.Random) -> None:
+        self.core = core
+        self.store = store
+        self.rng = rng
+        self.progressed = False
+        self.last_error: KnapweedError = PeerUnavailable("no source has the chunk yet")
+        self._calls = CallLog(what="block chunks")
+        self._version = 0
+        self._asked: set[str] = set()
+        self._platform_error: StoreError | None = None
+
+    async def step(self) -> bool:
+        """Make one pass over the missing chunks.
+
+        Returns:
+            Whether chunks are still missing.
+        """
+        self._platform_error = None
+        self.progressed = self._follow_list()
+        missing = self.core.chunks.missing()
+        if not missing:
+            self._asked.clear()
+            return False
+        self.rng.shuffle(missing)
+        waiting = iter(missing)
+
+        async def work() -> None:
+            for digest in waiting:
+                await self._fetch(digest)
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(min(MAX_FETCHES, len(missing))):
+                group.create_task(work())
+        return bool(self.core.chunks.missing())
+
+    def _follow_list(self) -> bool:
+        history = self.core.node.history
+        if history.version == self._version:
+            return False
+        self._version = history.version
+        before = self.core.chunks.chunks
+        try:
+            self.core.chunks.use(blockchunks.chunks_of(history.document))
+        except ConfigError as error:
+            log.warning("list of block chunks not used", code=int(error.code), error=str(error))
+        return self.core.chunks.chunks is not before
+
+    async def _fetch(self, digest: str) -> None:
+        domain_peers = self._domain_peers()
+        if await self._from_peers(digest, domain_peers):
+            return
+        is_first_pass = digest not in self._asked
+        self._asked.add(digest)
+        if not is_watcher(self.core) or (is_first_pass and not self._goes_first(digest)):
+            return
+        if await self._from_platform(digest):
+            return
+        await self._from_peers(digest, self._foreign_peer())
+
+    def _foreign_peer(self) -> list[VmId]:
+        members = self.core.node.members
+        domains = sorted(members.by_domain.keys() - {self.core.node.failure_domain})
+        if not domains:
+            return []
+        vms = members.foreign_members(self.rng.choice(domains))
+        return self.rng.sample(vms, min(1, len(vms)))
+
+    def _domain_peers(self) -> list[VmId]:
+        """Return random peers of the domain and one watcher, each once."""
+        node = self.core.node
+        peers = sorted(node.members.heard_peers())
+        chosen = self.rng.sample(peers, min(RANDOM_PEERS, len(peers)))
+        watching = [vm for vm in self._watchers() if vm != node.vm]
+        chosen += self.rng.sample(watching, min(1, len(watching)))
+        return list(dict.fromkeys(chosen))
+
+    def _watchers(self) -> list[VmId]:
+        node = self.core.node
+        return list(watchers(node.failure_domain, [*node.members.heard_peers(), node.vm]))
+
+    def _goes_first(self, digest: str) -> bool:
+        first = min(self._watchers(), key=lambda vm: hash_parts(digest, vm))
+        return first == self.core.node.vm
+
+    async def _from_peers(self, digest: str, vms: list[VmId]) -> bool:
+        request = FetchChunkRequest(vm=self.core.node.vm, digest=digest)
+        for vm in vms:
+            address = self.core.node.members.agent_address(vm)
+            if not address:
+                continue
+            try:
+                reply = await self.core.peers.fetch_chunk(address, request)
+                if reply.found:
+                    self._take(digest, reply.data)
+                    return True
+            except PeerUnavailable as error:
+                log.debug("chunk not fetched", peer=vm, error=str(error))
+                self.last_error = error
+            except (MessageError, ConfigError) as error:
+                self.core.once.warning(address, error)
+                self.last_error = error
+        return False
+
+    async def _from_platform(self, digest: str) -> bool:
+        if self._platform_error is not None:
+            # One failed call ends the pass: each of hundreds would wait its timeout.
+            return False
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                found = await self.store.get(blockchunks.key_of(digest))
+            if found is None:
+                raise ConfigError(f"block chunk {digest} is not on the platform")
+            self._take(digest, found.value)
+        except TimeoutError:
+            self._failed(StoreUnavailable(f"no answer within {CALL_LIMIT_S} s"))
+        except (ConfigError, StoreError) as error:
+            self._failed(error)
+        else:
+            self._calls.worked()
+            return True
+        return False
+
+    def _failed(self, error: KnapweedError) -> None:
+        self.last_error = error
+        self._calls.failed(error)
+        if isinstance(error, StoreError):
+            self._platform_error = error
+
+    def _take(self, digest: str, data: bytes) -> None:
+        self.core.chunks.take(digest, data)
+        self.progressed = True
--- a/knapweeddock/agent/core.py
+++ b/knapweeddock/agent/core.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from knapweeddock.agent.chunkstore import ChunkStore
 from knapweeddock.agent.ownmember import OwnMember
 from knapweeddock.agent.peers import PeerClients
 from knapweeddock.agent.subscriptions import Subscriptions
@@ -43,6 +44,8 @@
         node: Records, configuration and members.
         own: What is published about this VM.
         subscriptions: Streams to local processes.
+        chunks: Chunks of the block tables.
+        config_changed: Set when the configuration document changed.
         once: Problems of peers, each logged once.
         synced: Set when ``node.is_synced`` is.
         comparisons_done: Number of comparisons that succeeded.
@@ -58,6 +61,8 @@
         self.rng = rng
         self.peers = PeerClients()
         self.subscriptions = Subscriptions()
+        self.chunks = ChunkStore()
+        self.config_changed = asyncio.Event()
         self.once = OnceLog(log=log)
         self.synced = asyncio.Event()
         self.comparisons_done = 0
@@ -85,6 +90,8 @@
     def settle(self, *, config_changed: bool = False) -> None:
         """Publish what is due of the own VM and tell the subscribers what changed."""
         self._publish_own()
+        if config_changed:
+            self.config_changed.set()
         changed = self.node.members.take_changed()
         if changed or config_changed:
             self.subscriptions.notify(changed)
--- a/knapweeddock/agent/handlers.py
+++ b/knapweeddock/agent/handlers.py
@@ -14,7 +14,7 @@
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import MessageError
 from knapweeddock.proto.knapweed_grpc import NodeBase, PeerBase
-from knapweeddock.proto.knapweed_pb2 import PushReply, ReportReply
+from knapweeddock.proto.knapweed_pb2 import FetchChunkReply, PushReply, ReportReply
 
 STREAM_HEARTBEAT_S = 1.0
 """Longest time between two messages of a stream, by which a subscriber tells a
@@ -73,6 +73,14 @@
     return request
 
 
+async def _send_chunk(core: AgentCore, stream: Any) -> None:
+    """Answer a call for a chunk of the block tables."""
+    async with _numbered_errors(core, stream):
+        request = await _receive(stream)
+    data = core.chunks.get(request.digest)
+    await stream.send_message(FetchChunkReply(found=data is not None, data=data or b""))
+
+
 class NodeHandler(NodeBase):
     """State for local processes and reports from them."""
 
@@ -120,6 +128,10 @@
             self.core.take_report(request)
         await stream.send_message(ReportReply(config_version=self.core.node.history.version))
 
+    async def FetchChunk(self, stream: Any) -> None:
+        """Send a chunk to a local process."""
+        await _send_chunk(self.core, stream)
+
 
 class PeerHandler(PeerBase):
     """Comparisons with other agents and pushes from them."""
@@ -142,3 +154,7 @@
             if taken.errors:
                 raise taken.errors[0]
         await stream.send_message(PushReply(config_version=self.core.node.history.version))
+
+    async def FetchChunk(self, stream: Any) -> None:
+        """Send a chunk to another agent."""
+        await _send_chunk(self.core, stream)
--- a/knapweeddock/agent/metrics.py
+++ b/knapweeddock/agent/metrics.py
@@ -20,6 +20,12 @@
         self.suspected = self.process.gauge(
             "knapweed_members_suspected", "Members of the own domain without heartbeats."
         )
+        self.chunks_missing = self.process.gauge(
+            "knapweed_block_chunks_missing", "Chunks of the block tables that are not here yet."
+        )
+        self.chunk_bytes = self.process.gauge(
+            "knapweed_block_chunk_bytes", "Size of the chunks of the block tables held."
+        )
         self.comparisons = self.process.counter(
             "knapweed_comparisons_total", "Comparisons with other agents by result."
         )
@@ -48,6 +54,8 @@
         self.version.set({}, core.node.history.version)
         self.members.set({}, len(core.node.members.views))
         self.suspected.set({}, len(core.node.members.silent_members()))
+        self.chunks_missing.set({}, len(core.chunks.missing()))
+        self.chunk_bytes.set({}, core.chunks.size_bytes)
         self.comparisons.set({"result": "done"}, core.comparisons_done)
         self.comparisons.set({"result": "failed"}, core.comparisons_failed)
 
--- a/knapweeddock/agent/peers.py
+++ b/knapweeddock/agent/peers.py
@@ -8,7 +8,14 @@
 
 from knapweeddock.errors import MessageError, PeerUnavailable
 from knapweeddock.proto.knapweed_grpc import PeerStub
-from knapweeddock.proto.knapweed_pb2 import ExchangeReply, ExchangeRequest, PushReply, PushRequest
+from knapweeddock.proto.knapweed_pb2 import (
+    ExchangeReply,
+    ExchangeRequest,
+    FetchChunkReply,
+    FetchChunkRequest,
+    PushReply,
+    PushRequest,
+)
 
 CALL_TIMEOUT_S = 2.0
 """Longest duration of a call, connecting included; a whole document of 1 MB
@@ -55,6 +62,15 @@
         """
         return await self._call(address, "Push", request)
 
+    async def fetch_chunk(self, address: str, request: FetchChunkRequest) -> FetchChunkReply:
+        """Ask for a chunk of the block tables.
+
+        Raises:
+            PeerUnavailable: There was no answer in time.
+            MessageError: The peer refused the message.
+        """
+        return await self._call(address, "FetchChunk", request)
+
     async def _call(self, address, method, request):
         channel = self._channel(address)
         stub = PeerStub(channel)
--- a/knapweeddock/agent/service.py
+++ b/knapweeddock/agent/service.py
@@ -7,6 +7,7 @@
 from grpclib.server import Server
 from mode import Service
 
+from knapweeddock.agent.chunkfetch import ChunkFetcher
 from knapweeddock.agent.core import AgentCore
 from knapweeddock.agent.evidence import EvidenceProbe
 from knapweeddock.agent.handlers import NodeHandler, PeerHandler
@@ -41,6 +42,9 @@
 
 PROBE_INTERVAL_S = 0.5
 
+CHUNK_CHECK_S = 5.0
+"""Longest time between two checks for missing chunks without a change of the list."""
+
 SEED_PROBABILITY = 1 / 30
 """Part of the comparisons that go to a seed although members are known, so that
 two halves of the fleet that forgot each other meet again."""
@@ -205,6 +209,18 @@
                 self.metrics.platform_failed()
                 await self.sleep(backoff.next_s(error))
 
+    @Service.task
+    async def _chunk_loop(self) -> None:
+        fetcher = ChunkFetcher(core=self.core, store=self.store, rng=self.rng)
+        backoff = Backoff(rng=self.rng)
+        while not self.should_stop:
+            self.core.config_changed.clear()
+            missing = await fetcher.step()
+            if fetcher.progressed:
+                backoff.reset()
+            wait = backoff.next_s(fetcher.last_error) if missing else CHUNK_CHECK_S
+            await self.wait_first(self.core.config_changed.wait(), timeout=wait)
+
     @Service.task
     async def _vm_list_loop(self) -> None:
         watch = VmListWatch(core=self.core, vm_list=self.vm_list)
--- a/knapweeddock/blockchunks.py
+++ b/knapweeddock/blockchunks.py
@@ -22,6 +22,7 @@
 import msgspec
 
 from knapweeddock.blockfiles import LENGTH_BITS, V4_BITS, V6_BITS, SortedBlocks, format_prefix
+from knapweeddock.changes import Document
 from knapweeddock.errors import ConfigError
 from knapweeddock.model import BlockChunk
 
@@ -177,8 +178,7 @@
     Raises:
         ConfigError: The digest is another one, or the content is malformed.
     """
-    if digest_of(data) != digest:
-        raise ConfigError(f"the content of block chunk {digest} has another digest")
+    verify(data, digest=digest)
     try:
         content = msgspec.msgpack.decode(data, type=_Encoded)
     except msgspec.MsgspecError as error:
@@ -213,6 +213,28 @@
     return [int.from_bytes(data[at : at + 16], "little") for at in range(0, len(data), 16)]
 
 
+def verify(data: bytes, *, digest: str) -> None:
+    """Check that ``data`` is the content of the chunk ``digest``.
+
+    Raises:
+        ConfigError: It is not.
+    """
+    if len(data) > MAX_CHUNK_BYTES or digest_of(data) != digest:
+        raise ConfigError(f"the content of block chunk {digest} has another digest")
+
+
+def chunks_of(document: Document) -> dict[str, BlockChunk]:
+    """Return the list of chunks of a document.
+
+    Raises:
+        ConfigError: The list is malformed.
+    """
+    try:
+        return msgspec.convert(document.get("block_chunks", {}), dict[str, BlockChunk])
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"block_chunks is malformed: {error}") from error
+
+
 def missing(chunks: Mapping[str, BlockChunk], held: Iterable[str]) -> list[str]:
     """Return the digests of ``chunks`` that are not held, each once."""
     present = set(held)
--- a/knapweeddock/proto/knapweed_grpc.py
+++ b/knapweeddock/proto/knapweed_grpc.py
@@ -22,6 +22,10 @@
     async def Report(self, stream: 'grpclib.server.Stream[knapweeddock.proto.knapweed_pb2.ReportRequest, knapweeddock.proto.knapweed_pb2.ReportReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FetchChunk(self, stream: 'grpclib.server.Stream[knapweeddock.proto.knapweed_pb2.FetchChunkRequest, knapweeddock.proto.knapweed_pb2.FetchChunkReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/knapweed.Node/Subscribe': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 knapweeddock.proto.knapweed_pb2.ReportRequest,
                 knapweeddock.proto.knapweed_pb2.ReportReply,
             ),
+            '/knapweed.Node/FetchChunk': grpclib.const.Handler(
+                self.FetchChunk,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                knapweeddock.proto.knapweed_pb2.FetchChunkRequest,
+                knapweeddock.proto.knapweed_pb2.FetchChunkReply,
+            ),
         }
 
 
@@ -54,6 +64,12 @@
             knapweeddock.proto.knapweed_pb2.ReportRequest,
             knapweeddock.proto.knapweed_pb2.ReportReply,
         )
+        self.FetchChunk = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweed.Node/FetchChunk',
+            knapweeddock.proto.knapweed_pb2.FetchChunkRequest,
+            knapweeddock.proto.knapweed_pb2.FetchChunkReply,
+        )
 
 
 class PeerBase(abc.ABC):
@@ -66,6 +82,10 @@
     async def Push(self, stream: 'grpclib.server.Stream[knapweeddock.proto.knapweed_pb2.PushRequest, knapweeddock.proto.knapweed_pb2.PushReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FetchChunk(self, stream: 'grpclib.server.Stream[knapweeddock.proto.knapweed_pb2.FetchChunkRequest, knapweeddock.proto.knapweed_pb2.FetchChunkReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/knapweed.Peer/Exchange': grpclib.const.Handler(
@@ -80,6 +100,12 @@
                 knapweeddock.proto.knapweed_pb2.PushRequest,
                 knapweeddock.proto.knapweed_pb2.PushReply,
             ),
+            '/knapweed.Peer/FetchChunk': grpclib.const.Handler(
+                self.FetchChunk,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                knapweeddock.proto.knapweed_pb2.FetchChunkRequest,
+                knapweeddock.proto.knapweed_pb2.FetchChunkReply,
+            ),
         }
 
 
@@ -98,6 +124,12 @@
             knapweeddock.proto.knapweed_pb2.PushRequest,
             knapweeddock.proto.knapweed_pb2.PushReply,
         )
+        self.FetchChunk = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/knapweed.Peer/FetchChunk',
+            knapweeddock.proto.knapweed_pb2.FetchChunkRequest,
+            knapweeddock.proto.knapweed_pb2.FetchChunkReply,
+        )
 
 
 class LendingBase(abc.ABC):
