Build the look-up's block table chunk by chunk and swap it

A look-up process fetches missing chunks from its agent (Node.FetchChunk), builds each in a thread, reuses the parts that did not change and replaces the table once all parts are there. Until then the table before answers.

A chunk's range is a prefix, so a block of another chunk lies outside it or holds all of it. Chunks are flattened on their own, and the blocks wider than their chunk form one background table. Flattening the sorted blocks of all chunks again was ruled out, since one changed block would then cost the whole table.

A list whose chunks are gone is given up when a newer one arrives.

--- a/knapweeddock/blocks.py
+++ b/knapweeddock/blocks.py
@@ -6,11 +6,13 @@
 """
 
 import socket
+import sys
 from array import array
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from knapweeddock.blockfiles import LENGTH_BITS, V6_BITS, SortedBlocks
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
 
@@ -26,6 +28,7 @@
 """Prefixes that stand for the client block of an address that no block covers."""
 
 _MAPPED_V4 = bytes(10) + b"\xff\xff"
+_LENGTH_MASK = (1 << LENGTH_BITS) - 1
 _LOW_64 = (1 << 64) - 1
 
 
@@ -151,6 +154,25 @@
         self._names: list[str | None] = [None]
         self._build(blocks)
 
+    @classmethod
+    def of(cls, families: Iterable[SortedBlocks]) -> "BlockTable":
+        """Build a table of blocks that are sorted already, at most one per family."""
+        table = cls()
+        for family in families:
+            is_v6 = family.bits == V6_BITS
+            offset = len(table._names)
+            for name in family.names:
+                table._add_name(sys.intern(name))
+            ranges = _Flattener(bits=family.bits)
+            for prefix, location in zip(family.prefixes, family.locations, strict=True):
+                ranges.add(prefix >> LENGTH_BITS, prefix & _LENGTH_MASK, location + offset)
+            ranges.finish()
+            if is_v6:
+                table._use_v6(ranges)
+            else:
+                table._use_v4(ranges)
+        return table
+
     def _build(self, blocks: Iterable[tuple[str, str]]) -> None:
         # A list of Python integers for 3 million blocks would exceed the
         # memory limit while sorting; packed IPv4 blocks are sorted in parts.
@@ -196,6 +218,9 @@
                 ranges.add(packed >> 22, packed >> 16 & 0x3F, packed & 0xFFFF)
             parts[position] = array("Q")
         ranges.finish()
+        self._use_v4(ranges)
+
+    def _use_v4(self, ranges: _Flattener) -> None:
         self._v4_starts = ranges.starts_high
         self._v4_locations = ranges.locations
 
@@ -205,6 +230,9 @@
         for packed in packed_blocks:
             ranges.add(packed >> 24, packed >> 16 & 0xFF, packed & 0xFFFF)
         ranges.finish()
+        self._use_v6(ranges)
+
+    def _use_v6(self, ranges: _Flattener) -> None:
         self._v6_high = ranges.starts_high
         self._v6_low = ranges.starts_low
         self._v6_locations = ranges.locations
--- a/knapweeddock/lookup.py
+++ b/knapweeddock/lookup.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from knapweeddock.blocks import BlockMatch, BlockTable, parse_address
+from knapweeddock.blocktable import ChunkedTable
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import KnapweedError
 from knapweeddock.ids import FailureDomainId, RegionId, ServiceId, Version, VmId
@@ -161,7 +162,7 @@
     def __init__(self, *, failure_domain: FailureDomainId) -> None:
         self.failure_domain = failure_domain
         self.state: NodeState | None = None
-        self.blocks = BlockTable()
+        self.blocks: BlockTable | ChunkedTable = BlockTable()
         self._geography = Geography(Config())
         self._members_of: dict[FailureDomainId, dict[VmId, Member]] = {}
         self._domains: dict[FailureDomainId, _Domain] = {}
@@ -185,7 +186,8 @@
             self._rebuild(name, state.config)
 
     def _use_config(self, config: Config, previous: Config) -> None:
-        if config.client_blocks != previous.client_blocks:
+        # A table of chunks is replaced by ``use_blocks``, once it is built.
+        if not previous.block_chunks and config.client_blocks != previous.client_blocks:
             self.blocks = BlockTable(config.client_blocks.items())
         self._geography = Geography(config)
         self._near.clear()
@@ -214,7 +216,7 @@
             del self._members_of[domain][vm]
         return changed
 
-    def use_blocks(self, blocks: BlockTable) -> None:
+    def use_blocks(self, blocks: BlockTable | ChunkedTable) -> None:
         """Replace the table of client blocks."""
         self.blocks = blocks
 
--- a/knapweeddock/lookupd/service.py
+++ b/knapweeddock/lookupd/service.py
@@ -8,6 +8,8 @@
 
 from knapweeddock.ids import new_id
 from knapweeddock.lookup import Lookup
+from knapweeddock.lookupd.blockfeed import BlockFeed
+from knapweeddock.lookupd.chunkclient import ChunkClient
 from knapweeddock.lookupd.subscription import Reporter, StateFeed
 from knapweeddock.lookupd.web import LookupWeb
 from knapweeddock.metrics import ProcessMetrics
@@ -33,12 +35,15 @@
             lookup=self.lookup,
             metrics=ProcessMetrics(process="knapweed-lookup", vm=settings.vm),
         )
+        rng = rng or random.Random()
         self.feed = StateFeed(
             vm=settings.vm,
             agents=list(settings.agents),
             lookup=self.lookup,
-            rng=rng or random.Random(),
+            rng=rng,
         )
+        self.chunks = ChunkClient(vm=settings.vm, feed=self.feed)
+        self.blocks = BlockFeed(lookup=self.lookup, fetch=self.chunks.fetch, rng=rng)
         self.address = ""
         self.metrics_address = ""
         self._runners: list[web.AppRunner] = []
@@ -71,6 +76,7 @@
         """Stop listening."""
         for runner in self._runners:
             await runner.cleanup()
+        self.chunks.close()
 
     @Service.task
     async def _feed_loop(self) -> None:
@@ -79,3 +85,7 @@
     @Service.task
     async def _report_loop(self) -> None:
         await self.reporter.run()
+
+    @Service.task
+    async def _block_loop(self) -> None:
+        await self.blocks.run()
--- /dev/null
+++ b/tests/test_blockfeed.py
@@ -0,0 +1,150 @@
+"""Swapping tables: guards against answers from a half-built table and against a stuck one."""
+
+import random
+
+import pytest
+
+from knapweeddock import blockchunks, porcelain
+from knapweeddock.agent import handlers, service
+from knapweeddock.blocks import parse_address
+from knapweeddock.errors import PeerUnavailable
+from knapweeddock.ids import FailureDomainId, Version
+from knapweeddock.lookup import Lookup
+from knapweeddock.lookupd.blockfeed import BlockFeed
+from knapweeddock.model import Config
+from knapweeddock.objectstore import MemoryObjectStore
+from knapweeddock.state import NodeState
+from tests.agents import agent_settings, running_agent, running_lookup, until
+from tests.documents import DOCUMENT, write_folder
+from tests.test_blockchunks import plan
+from tests.test_blockfiles import write_blocks
+from tests.test_porcelain import session
+
+CLIENT = "10.0.0.1"
+
+
+class Fixture:
+    """A look-up and the chunks that its agent has."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, bytes] = {}
+        self.error: Exception | None = None
+        self.version = 0
+        self.lookup = Lookup(failure_domain=FailureDomainId("n1"))
+        self.feed = BlockFeed(lookup=self.lookup, fetch=self.fetch, rng=random.Random(1))
+
+    async def fetch(self, digest: str) -> bytes | None:
+        if self.error:
+            raise self.error
+        return self.held.get(digest)
+
+    def use(self, plan=None, *, document: str = "") -> None:
+        self.version += 1
+        blocks = {"10.0.0.0/8": document} if document else {}
+        config = Config(block_chunks=plan.chunks if plan else {}, client_blocks=blocks)
+        self.lookup.update(NodeState(config_version=Version(self.version), config=config))
+
+    def location(self, client: str = CLIENT) -> str | None:
+        return self.lookup.blocks.find(parse_address(client)).location
+
+
+def blocks(*places: int) -> dict[int, int]:
+    return {(10 + at) << 32 | 8: place for at, place in enumerate(places)}
+
+
+@pytest.fixture(autouse=True)
+def small_chunks(monkeypatch):
+    monkeypatch.setattr(blockchunks, "MAX_CHUNK_BLOCKS", 1)
+
+
+async def test_old_table_stays_until_all_chunks_are_there():
+    world = Fixture()
+    first = plan(blocks(0, 0, 0))
+    world.held |= first.uploads
+    world.use(first)
+    assert await world.feed.step()
+    assert (world.location(), world.feed.built) == ("n1", 3)
+    second = plan(blocks(1, 1, 0), first)
+    digests = list(second.uploads)
+    world.use(second)
+    world.held[digests[0]] = second.uploads[digests[0]]
+    for _ in range(2):
+        assert not await world.feed.step()
+        assert (world.location(), world.location("11.0.0.1")) == ("n1", "n1")
+    world.held |= second.uploads
+    assert await world.feed.step()
+    assert (world.location(), world.location("11.0.0.1")) == ("n2", "n2")
+    # Only the chunks of the two changed blocks were built.
+    assert world.feed.built == 5
+
+
+async def test_failures_keep_the_table_and_are_tried_again():
+    world = Fixture()
+    first = plan(blocks(0))
+    world.use(first)
+    world.error = PeerUnavailable("down")
+    assert not await world.feed.step()
+    world.error = None
+    world.held = dict.fromkeys(first.uploads, b"damaged")
+    assert not await world.feed.step()
+    assert world.location() is None
+    world.held = first.uploads
+    assert await world.feed.step()
+    assert world.location() == "n1"
+
+
+async def test_newer_list_replaces_one_whose_chunks_are_gone():
+    """Chunks of an old list are deleted; a process must not wait for them for ever."""
+    world = Fixture()
+    first, second = plan(blocks(0, 0)), plan(blocks(1, 1))
+    world.held = second.uploads
+
+    async def fetch(digest: str) -> bytes | None:
+        if digest in first.uploads:
+            world.use(second)
+        return world.held.get(digest)
+
+    world.feed.fetch = fetch
+    world.use(first)
+    assert not await world.feed.step()
+    assert await world.feed.step()
+    assert world.location() == "n2"
+
+
+async def test_blocks_of_the_document_override_and_stay_without_chunks():
+    world = Fixture()
+    world.use(document="s1")
+    assert world.location() == "s1"
+    first = plan(blocks(0, 0))
+    world.held = first.uploads
+    world.use(first, document="s1")
+    assert await world.feed.step()
+    assert (world.location(), world.location("11.0.0.1")) == ("s1", "n1")
+    world.use(first)
+    assert await world.feed.step()
+    assert world.location() == "n1"
+    world.use(document="s1")
+    assert await world.feed.step()
+    assert (world.location(), world.location("11.0.0.1")) == ("s1", None)
+    assert await world.feed.step()
+
+
+async def test_chunks_reach_a_look_up_process_through_its_agent(tmp_path, monkeypatch):
+    monkeypatch.setattr(service, "COMPARE_INTERVAL_S", 0.1)
+    monkeypatch.setattr(handlers, "STREAM_HEARTBEAT_S", 0.1)
+    store = MemoryObjectStore()
+    folder = write_blocks(write_folder(tmp_path, DOCUMENT), a="10.0.0.0/8 s1\n10.2.0.0/16 n1")
+    await porcelain.apply(session(store), folder)
+
+    def location(daemon, client: str) -> str | None:
+        return daemon.lookup.blocks.find(parse_address(client)).location
+
+    async with (
+        running_agent(agent_settings("vm-1"), store) as agent,
+        running_lookup("vm-1", [agent.address]) as daemon,
+    ):
+        await until(lambda: location(daemon, "10.2.0.1") == "n1")
+        assert location(daemon, "10.3.0.1") == "north"
+        write_blocks(folder, a="10.0.0.0/8 s1\n10.2.0.0/16 n2")
+        await porcelain.apply(session(store), folder)
+        await until(lambda: location(daemon, "10.2.0.1") == "n2")
