--- a/tests/entry/test_agentlink.py
+++ b/tests/entry/test_agentlink.py
@@ -34,6 +34,9 @@
         await until(lambda: self.subscriptions >= subscription)
         self.messages.put_nowait(message)
 
+    async def FetchChunk(self, stream):
+        raise AssertionError("entries use no block tables")
+
 
 @asynccontextmanager
 async def agent_and_entry(*, feed_first=True, **limits):
