Follow a newer list of chunks at once and ask a silent peer once per pass

A pass over 512 missing chunks with peers that do not answer would wait for a timeout of 2 s for each chunk and peer, and a newer list would wait for its end. A pass now skips peers that were silent in it and ends when the configuration moves on. A table that exceeds its limits is logged and the one before stays; the error would have ended the look-up process. Each of the three new tests fails without its change.

--- a/knapweeddock/agent/chunkfetch.py
+++ b/knapweeddock/agent/chunkfetch.py
@@ -55,6 +55,7 @@
         self._version = 0
         self._asked: set[str] = set()
         self._platform_error: StoreError | None = None
+        self._silent: set[VmId] = set()
 
     async def step(self) -> bool:
         """Make one pass over the missing chunks.
@@ -63,6 +64,7 @@
             Whether chunks are still missing.
         """
         self._platform_error = None
+        self._silent.clear()
         self.progressed = self._follow_list()
         missing = self.core.chunks.missing()
         if not missing:
@@ -73,6 +75,9 @@
 
         async def work() -> None:
             for digest in waiting:
+                if self.core.node.history.version != self._version:
+                    # A newer list is followed at once, whatever this one still misses.
+                    return
                 await self._fetch(digest)
 
         async with asyncio.TaskGroup() as group:
@@ -133,7 +138,7 @@
         request = FetchChunkRequest(vm=self.core.node.vm, digest=digest)
         for vm in vms:
             address = self.core.node.members.agent_address(vm)
-            if not address:
+            if not address or vm in self._silent:
                 continue
             try:
                 reply = await self.core.peers.fetch_chunk(address, request)
@@ -141,6 +146,8 @@
                     self._take(digest, reply.data)
                     return True
             except PeerUnavailable as error:
+                # Each of hundreds of chunks would otherwise wait for the timeout.
+                self._silent.add(vm)
                 log.debug("chunk not fetched", peer=vm, error=str(error))
                 self.last_error = error
             except (MessageError, ConfigError) as error:
--- a/knapweeddock/lookupd/blockfeed.py
+++ b/knapweeddock/lookupd/blockfeed.py
@@ -83,7 +83,11 @@
                 break
         if len(self._parts) < len(wanted):
             return False
-        await self._swap(config, layout)
+        try:
+            await self._swap(config, layout)
+        except ConfigError as error:
+            log.warning("block table not used", code=int(error.code), error=str(error))
+            return False
         return not self._is_newer_than(config)
 
     def _needs_table(self, config: Config) -> bool:
--- a/tests/test_agent_chunks.py
+++ b/tests/test_agent_chunks.py
@@ -117,6 +117,28 @@
     assert fetcher.core.chunks.missing() == [digest_of(DATA[0])]
 
 
+async def test_silent_peer_is_asked_once_per_pass():
+    """Three chunks would otherwise wait for three timeouts, a table for hundreds."""
+    store = MemoryObjectStore()
+    await write_list(store, *DATA)
+    fetcher = await fetcher_with(store, {"a": PeerUnavailable("silent")})
+    store.down = True
+    await fetcher.step()
+    assert len(fetcher.core.peers.calls) == 1
+
+
+async def test_newer_list_ends_a_pass():
+    store = MemoryObjectStore()
+    await write_list(store, *DATA)
+    fetcher = await fetcher_with(store, {})
+    fetcher.core.node.history.take_document(9, b"{}")
+    fetcher._follow_list = lambda: False
+    fetcher.core.chunks.use(listed(*DATA))
+    store.calls = 0
+    assert await fetcher.step()
+    assert store.calls == 0
+
+
 async def test_another_domain_helps_during_an_outage():
     store = MemoryObjectStore()
     await write_list(store, DATA[0])
--- a/tests/test_blockfeed.py
+++ b/tests/test_blockfeed.py
@@ -93,6 +93,18 @@
     assert world.location() == "n1"
 
 
+async def test_unusable_table_is_not_swapped_in(monkeypatch):
+    """An exception here would end the look-up process."""
+    monkeypatch.setattr("knapweeddock.blocks.MAX_BLOCKS", 0)
+    world = Fixture()
+    first = plan(blocks(0, 0))
+    world.held = first.uploads
+    config = Config(block_chunks=first.chunks, client_blocks={"99.0.0.0/8": "n1"})
+    world.lookup.state = NodeState(config_version=Version(1), config=config)
+    assert not await world.feed.step()
+    assert world.location() is None
+
+
 async def test_newer_list_replaces_one_whose_chunks_are_gone():
     """Chunks of an old list are deleted; a process must not wait for them for ever."""
     world = Fixture()
