Open all slots of a site whose servers warm up together

Cause: a server that reports cold opens one slot of three.

Slow start shifts work to warm servers. It now stops holding slots back when more than half of a site's servers are warming up, for own work and for lending.

--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -8,7 +8,11 @@
 from knapweeddock.ids import ServerId
 from knapweeddock.slots import SlotKey, key_of
 
-Candidate = tuple[ServerId, Sequence[Slot], ServerRecord]
+SLOW_START_PART = 0.5
+"""Largest part of a site's servers that slow start may hold back at a time."""
+
+Candidate = tuple[ServerId, Sequence[Slot], ServerRecord, int]
+"""A server, its free slots, its health and the number of its slots that are open."""
 
 
 def choose(
@@ -36,12 +40,12 @@
         within: Slots to choose from; all when None.
         lowest: Whether to prefer low ranks (remote work) to high ones.
     """
-    healthy, aside = _split(free, records, now)
-    if not healthy:
-        return _last_resort(aside, now, exclude, within, lowest)
+    fit, aside = split_by_health(free, records, now)
+    if not fit:
+        return _last_resort(aside, exclude, within, lowest)
     best: Slot | None = None
     best_load = inf
-    for server, slots, record in healthy:
+    for server, slots, record, opened in fit:
         if not slots or server in exclude:
             continue
         load = in_flight.get(server, 0)
@@ -50,42 +54,54 @@
             load = reported if reported > load else load
         if load > best_load:
             continue
-        warm = within is None and record.opened == ALL_SLOTS
-        slot = slots[0 if lowest else -1] if warm else _pick(slots, record, now, within, lowest)
+        if within is None and opened == ALL_SLOTS:
+            slot = slots[0 if lowest else -1]
+        else:
+            slot = _pick(slots, opened, within, lowest)
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
             best = slot
             best_load = load
     return best
 
 
-def _split(
+def split_by_health(
     free: Mapping[ServerId, Sequence[Slot]],
     records: Mapping[ServerId, ServerRecord],
     now: float,
 ) -> tuple[list[Candidate], list[Candidate]]:
-    """Return the servers that are fit for use and those that are set aside."""
-    healthy = []
+    """Return a site's servers that are fit for use, and those that are set aside.
+
+    Slow start shifts work to warm servers. When most servers of the site are
+    warming up there are not enough warm ones, and closed slots would only turn
+    requests away; then all slots are open.
+    """
+    fit = []
     aside = []
+    warming = 0
     for server, slots in free.items():
         record = records.get(server)
         if record is None or record.leaving:
             continue
+        opened = record.opened
+        if opened != ALL_SLOTS:
+            opened = record.open_slots(now)
         if record.retry_at is not None and record.is_set_aside(now):
-            aside.append((server, slots, record))
-        else:
-            healthy.append((server, slots, record))
-    return healthy, aside
+            aside.append((server, slots, record, opened))
+            continue
+        fit.append((server, slots, record, opened))
+        warming += opened != ALL_SLOTS
+    if warming > len(fit) * SLOW_START_PART:
+        fit = [(server, slots, record, ALL_SLOTS) for server, slots, record, _ in fit]
+    return fit, aside
 
 
 def _pick(
     slots: Sequence[Slot],
-    record: ServerRecord,
-    now: float,
+    opened: int,
     within: Collection[SlotKey] | None,
     lowest: bool,
 ) -> Slot | None:
     """Return the lowest or highest of the slots of one server that may be used."""
-    opened = record.open_slots(now)
     for slot in slots if lowest else reversed(slots):
         if slot.index < opened and (within is None or key_of(slot) in within):
             return slot
@@ -94,15 +110,14 @@
 
 def _last_resort(
     aside: Sequence[Candidate],
-    now: float,
     exclude: Collection[ServerId],
     within: Collection[SlotKey] | None,
     lowest: bool,
 ) -> Slot | None:
     """Return a slot of the server whose trial is due first."""
-    for server, slots, record in sorted(aside, key=lambda entry: (entry[2].retry_at, entry[0])):
+    for server, slots, _, opened in sorted(aside, key=lambda entry: (entry[2].retry_at, entry[0])):
         if server not in exclude:
-            slot = _pick(slots, record, now, within, lowest)
+            slot = _pick(slots, opened, within, lowest)
             if slot is not None:
                 return slot
     return None
--- a/knapweeddock/localsite.py
+++ b/knapweeddock/localsite.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from knapweeddock.choice import choose
+from knapweeddock.choice import choose, split_by_health
 from knapweeddock.grants import Slot
 from knapweeddock.handover import SettledReport, SiteHandover, decode_report
 from knapweeddock.health import HealthBook
@@ -134,11 +134,8 @@
         lendable = self.handover.lendable.of(region) if remote else None
         total = 0
         free = []
-        for server, slots in self.ledger.free[self.site_id].items():
-            record = health.records.get(server)
-            if record is None or record.leaving or record.is_set_aside(now):
-                continue
-            opened = record.open_slots(now)
+        fit, _ = split_by_health(self.ledger.free[self.site_id], health.records, now)
+        for _, slots, _, opened in fit:
             for slot in slots:
                 if slot.index >= opened:
                     continue
