Test block chunks over the platform's HTTP protocol

The other tests keep chunks in memory only; binary values, conditional creation and deletion also pass through HttpObjectStore and the stand-in platform.

--- a/tests/test_blockstore.py
+++ b/tests/test_blockstore.py
@@ -11,9 +11,11 @@
 from knapweeddock.blockfiles import read_block_files
 from knapweeddock.blockstore import ChunkWriter
 from knapweeddock.errors import OutcomeUnknown, RateLimited, StoreError, StoreUnavailable
+from knapweeddock.httpstore import HttpObjectStore
 from knapweeddock.objectstore import MemoryObjectStore
 from knapweeddock.publish import Publisher
 from tests.documents import DOCUMENT, document, write_folder
+from tests.fake_platform import FakePlatform
 from tests.test_blockfiles import write_blocks
 from tests.test_porcelain import held, session
 
@@ -162,3 +164,18 @@
     calm = MemoryObjectStore()
     calm.objects = store.objects.copy()
     return calm
+
+
+async def test_chunks_are_kept_by_http(folder):
+    """Binary values and conditional creation must work on the platform's protocol too."""
+    platform = FakePlatform()
+    async with platform.serve() as url:
+        http = HttpObjectStore(url=url)
+        for name in ("n1", "n2", "s1"):
+            write_blocks(folder, a=f"10.2.0.0/16 {name}")
+            await porcelain.apply(session(http), folder)
+        for chunk in (await held(http))["block_chunks"].values():
+            stored = await http.get(KEY_PREFIX + chunk["digest"])
+            blockchunks.verify(stored.value, digest=chunk["digest"])
+        assert len(await chunk_keys(http)) == 2
+        await http.close()
