--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -300,7 +300,7 @@
             self.after(delay, lambda: self.at(process, lambda: self.end(connection, refused)))
             return
         connection.connected = True
-        self.after(self.delay(), lambda: self.forward(connection, lender, RESENDS))
+        self.after(self.slow(), lambda: self.forward(connection, lender, RESENDS))
 
     def is_cut(self, source, target, *, both=False):
         return (source, target) in self.cut or (both and (target, source) in self.cut)
@@ -453,7 +453,7 @@
         self.after(LENDING_TIMEOUT_S, lambda: self.at(process, lambda: end(None)))
 
     def slow(self):
-        """Return the delay of a lending message, which may be longer than its timeout."""
+        """Return the delay of a message to or from a lender, which may exceed the timeout."""
         return self.rng.choice([0.4, 0.9, 1.1]) if self.rng.random() < 0.1 else self.delay()
 
     # Agents
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -299,7 +299,7 @@
 
 SystemMachine.TestCase.settings = settings(
     derandomize=True,
-    max_examples=40,
+    max_examples=100,
     stateful_step_count=50,
     deadline=None,
     database=None,
