--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -29,7 +29,6 @@
     request: Request
     version: int
     is_open: bool = True
-    connected: bool = False
     forwarded: Request | None = None
     origin: str = ""
 
@@ -86,7 +85,6 @@
             refused = AttemptOutcome.REFUSED
             self.after(delay, lambda: self.at(process, lambda: self.end(connection, refused)))
             return
-        connection.connected = True
         self.after(self.slow(), lambda: self.forward(connection, lender, RESENDS))
 
     def connect_server(self, connection, server):
@@ -95,7 +93,6 @@
         if not server.alive:
             self.end(connection, AttemptOutcome.REFUSED)
             return
-        connection.connected = True
         if len(server.running) >= SERVER_SLOTS or (fault and fate == "shed"):
             self.answer_server(connection, AttemptOutcome.SHED)
         elif fault and fate == "lost":
