Trust a server's own announcement over its health endpoint

Cause: after a server announced in an answer that it is leaving, a health endpoint that went on to say ok brought it back after 10 s. It gets no requests meanwhile, so it cannot repeat the announcement, and each round sent it new work.

Ruled out: a longer hold for every sign, which would also delay the return of a server whose health endpoint withdrew its own draining.

An announcement in an answer now holds for 10 minutes, or until the server was unreachable, that is, until its process was replaced.

--- a/knapweeddock/grants.py
+++ b/knapweeddock/grants.py
@@ -122,6 +122,8 @@
     OK = "ok"
     COLD = "cold"
     DRAINING = "draining"
+    ANNOUNCED = "announced"
+    """An answer to a request said that the server is leaving."""
     UNREACHABLE = "unreachable"
 
 
--- a/knapweeddock/health.py
+++ b/knapweeddock/health.py
@@ -18,6 +18,11 @@
 LEAVING_HOLD_S = 10.0
 """Time for which a sign of leaving outweighs an ``ok``: health endpoints lag."""
 
+ANNOUNCED_HOLD_S = 600.0
+"""Time for which an announcement in an answer outweighs an ``ok``. A leaving
+server gets no requests, so it cannot repeat its announcement, and a misleading
+health endpoint alone would bring it back every few seconds."""
+
 REPORT_LIFE_S = 5.0
 """Age at which a reported load has lost its weight."""
 
@@ -36,6 +41,7 @@
         retry_at: When a trial request may be sent; None when not set aside.
         trial: Whether the trial request is running.
         left_at: Last sign from the server itself that it is leaving.
+        left_hold_s: Time for which that sign outweighs an ``ok``.
         listed_leaving: Whether configuration or VM list name it as leaving.
         leaving: Whether any sign says that the server is leaving.
         in_flight: Requests that it reported.
@@ -48,6 +54,7 @@
         "in_flight",
         "leaving",
         "left_at",
+        "left_hold_s",
         "listed_leaving",
         "measured_at",
         "next_open_at",
@@ -65,6 +72,7 @@
         self.retry_at: float | None = None
         self.trial = False
         self.left_at: float | None = None
+        self.left_hold_s = LEAVING_HOLD_S
         self.listed_leaving = False
         self.leaving = False
         self.in_flight = 0
@@ -142,13 +150,19 @@
                 record.next_open_at = None
             case ServerHealth.DRAINING:
                 record.set_leaving(listed=record.listed_leaving, left_at=now)
+            case ServerHealth.ANNOUNCED:
+                record.set_leaving(listed=record.listed_leaving, left_at=now)
+                record.left_hold_s = ANNOUNCED_HOLD_S
             case ServerHealth.UNREACHABLE:
+                # The process has ended; the next one starts without the announcement.
+                record.left_hold_s = LEAVING_HOLD_S
                 self._failed(record, now)
 
     def _seen_ok(self, record: ServerRecord, now: float) -> None:
         if record.left_at is not None:
-            if now - record.left_at < LEAVING_HOLD_S:
+            if now - record.left_at < record.left_hold_s:
                 return
+            record.left_hold_s = LEAVING_HOLD_S
             record.set_leaving(listed=record.listed_leaving, left_at=None)
             record.warm_from(now)
         elif not record.seen and now - self.started_at <= STARTUP_TERM_S:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -83,3 +83,15 @@
     report(book, ServerHealth.OK, 12.0)
     assert not book.records["s"].leaving
     assert book.records["s"].open_slots(12.0) == 1
+
+
+def test_announcement_in_an_answer_outweighs_a_misleading_health_endpoint(book):
+    """Guards against new work for a leaving server whose health goes on to say ok."""
+    report(book, ServerHealth.OK, 0.1)
+    report(book, ServerHealth.ANNOUNCED, 1.0)
+    for seconds in range(2, 120, 2):
+        report(book, ServerHealth.OK, float(seconds))
+    assert book.records["s"].leaving
+    report(book, ServerHealth.UNREACHABLE, 121.0)
+    report(book, ServerHealth.OK, 123.0)
+    assert not book.records["s"].leaving
