--- a/knapweeddock/admission.py
+++ b/knapweeddock/admission.py
@@ -57,19 +57,19 @@
             return default_s
         return min(arrival.budget_s, max(default_s, self.settings.max_budget_s))
 
-    def burn_refused(self, arrival: Arrival, code: ResultCode) -> None:
+    def revoke_refused(self, arrival: Arrival, code: ResultCode) -> None:
         """Make a refusal final for the key of a new request.
 
         Without this, a copy of the request that was delayed on the network
         could start after its caller was told "not run".
         """
         key = arrival.key
-        if key is None or arrival.grant is not None or code not in FINAL_BY_BURNING:
+        if key is None or arrival.grant is not None or code not in FINAL_BY_REVOKING:
             return
         if _is_idempotent(self._classify(arrival)):
             return
         if self.keys.find(key, arrival.body_digest) is None:
-            self.keys.burn(key, arrival.body_digest)
+            self.keys.revoke(key, arrival.body_digest)
 
     def _classify(self, arrival: Arrival) -> Classified | ResultCode:
         if self.classifier is None:
@@ -112,7 +112,7 @@
     return isinstance(classified, Classified) and classified.request_class.idempotent
 
 
-FINAL_BY_BURNING = frozenset(
+FINAL_BY_REVOKING = frozenset(
     {
         ResultCode.BAD_REQUEST,
         ResultCode.UNKNOWN_SERVICE,
--- a/knapweeddock/codes.py
+++ b/knapweeddock/codes.py
@@ -27,7 +27,7 @@
     KEY_MISSING = 105
     KEY_EXPIRED = 106
     KEY_MISMATCH = 107
-    KEY_BURNED = 108
+    KEY_REVOKED = 108
     KEY_TABLE_FULL = 109
     QUEUE_FULL = 111
     WAIT_TOO_LONG = 112
@@ -111,7 +111,7 @@
     ResultCode.KEY_MISMATCH: _not_run(
         422, "The key was used before with a different request; this request was not run."
     ),
-    ResultCode.KEY_BURNED: _not_run(
+    ResultCode.KEY_REVOKED: _not_run(
         409, "The key was declared never to be started by an outcome query or a refusal."
     ),
     ResultCode.KEY_TABLE_FULL: _not_run(503, "The table of idempotency keys is full."),
--- a/knapweeddock/dispatcher.py
+++ b/knapweeddock/dispatcher.py
@@ -88,7 +88,7 @@
         self.capacity.update(state, now)
 
     def outcome_query(self, key: IdempotencyKey, now: float) -> OutcomeAnswer:
-        """Answer what happened to a key; one that was never seen is burned first."""
+        """Answer what happened to a key; one that was never seen is revoked first."""
         return self.keys.outcome(key)
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -124,7 +124,7 @@
                 self._admit(arrival, checked, now)
 
     def _refuse(self, arrival: Arrival, code: ResultCode) -> None:
-        self.admission.burn_refused(arrival, code)
+        self.admission.revoke_refused(arrival, code)
         other = code is ResultCode.OTHER_INCARNATION and arrival.key is not None
         ask = arrival.key.incarnation if other else None
         retry_after_s = self.retry_after.without_work(code)
@@ -139,7 +139,7 @@
             case KeyRecord(state=KeyState.COMPLETE):
                 self.actions.append(Deliver(request=arrival.request, attempt=record.attempt))
             case KeyRecord(state=KeyState.NOT_RUN):
-                self._reply(arrival.request, ResultCode.KEY_BURNED)
+                self._reply(arrival.request, ResultCode.KEY_REVOKED)
             case _:
                 self._reply(arrival.request, record.code or ResultCode.SERVER_LOST)
 
@@ -325,7 +325,7 @@
         if work.key is not None and unknown:
             self.keys.lose(work.key, code)
         elif work.key is not None:
-            self.keys.burn(work.key)
+            self.keys.revoke(work.key)
         running = self.attempts.running_in(work.pool)
         retry_after_s = self.retry_after.for_work(work, code, queue, running)
         for request in self.callers.take(work):
--- a/knapweeddock/entry/handling.py
+++ b/knapweeddock/entry/handling.py
@@ -128,7 +128,7 @@
         """Return the answer to a request that the dispatcher does not see.
 
         The refusal says "not run". For a repeated key that holds only if the
-        first request was not started; a key that is new is burned, so that no
+        first request was not started; a key that is new is revoked, so that no
         delayed copy of the request starts later.
         """
         retry_after_s = REFUSED_RETRY_S if error.code is ResultCode.QUEUE_FULL else None
--- a/knapweeddock/idempotency.py
+++ b/knapweeddock/idempotency.py
@@ -107,7 +107,7 @@
         record = KeyRecord(key=key, digest=digest, state=KeyState.RUNNING, work=work)
         return self._insert(record)
 
-    def burn(self, key: IdempotencyKey, digest: bytes = b"") -> bool:
+    def revoke(self, key: IdempotencyKey, digest: bytes = b"") -> bool:
         """Record a key as never to be started; return False when the table is full.
 
         The key must not have been started.
@@ -141,7 +141,7 @@
         record.code = code
 
     def outcome(self, key: IdempotencyKey) -> OutcomeAnswer:
-        """Answer an outcome query; a key that was never seen is burned first."""
+        """Answer an outcome query; a key that was never seen is revoked first."""
         record = self.records.get(key.key)
         if record is not None and record.key == key:
             return _answer(record)
@@ -153,9 +153,9 @@
                 return OutcomeAnswer(state=KeyState.NOT_RUN, code=found)
             case ResultCode():
                 return OutcomeAnswer(state=KeyState.UNKNOWN, code=found)
-        if not self.burn(key):
+        if not self.revoke(key):
             return OutcomeAnswer(state=KeyState.UNKNOWN, code=ResultCode.KEY_TABLE_FULL)
-        return OutcomeAnswer(state=KeyState.NOT_RUN, code=ResultCode.KEY_BURNED)
+        return OutcomeAnswer(state=KeyState.NOT_RUN, code=ResultCode.KEY_REVOKED)
 
     def remaining_s(self, key: IdempotencyKey) -> float:
         """Return the seconds until the key must not be started any more."""
@@ -219,6 +219,6 @@
         case KeyState.UNKNOWN:
             return OutcomeAnswer(state=record.state, code=record.code or ResultCode.SERVER_LOST)
         case KeyState.NOT_RUN:
-            return OutcomeAnswer(state=record.state, code=ResultCode.KEY_BURNED)
+            return OutcomeAnswer(state=record.state, code=ResultCode.KEY_REVOKED)
         case KeyState.RUNNING:
             return OutcomeAnswer(state=record.state)
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -63,7 +63,7 @@
         assert run.service.loop_service.answers == {}
 
 
-async def test_an_outcome_query_burns_an_unknown_key():
+async def test_an_outcome_query_revokes_an_unknown_key():
     """Guards against a delayed request that starts after "not run" was told."""
     async with serving(ok) as run:
         headers = run.caller.key()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -53,7 +53,7 @@
     assert second.slot.server != first.slot.server
     [reply] = rig.end(second.attempt, outcome, retry_after_s=2.5)
     assert (reply.code, reply.retry_after_s) == (ResultCode.SHED, 2.5)
-    assert codes(rig.book()) == [("r2", ResultCode.KEY_BURNED)]
+    assert codes(rig.book()) == [("r2", ResultCode.KEY_REVOKED)]
 
 
 @pytest.mark.parametrize(
@@ -132,7 +132,7 @@
     rig.book("k", budget_s=0.2)
     rig.clock.advance(0.17)
     assert codes(rig.handle(events.Tick())) == [("r2", ResultCode.WAIT_TOO_LONG)]
-    assert codes(rig.book()) == [("r3", ResultCode.KEY_BURNED)]
+    assert codes(rig.book()) == [("r3", ResultCode.KEY_REVOKED)]
     assert rig.end(running.attempt) == [events.Deliver(request="r1", attempt=running.attempt)]
 
 
@@ -213,7 +213,7 @@
     assert codes(rig.arrive(method="POST", path="/book"))[0][1] is ResultCode.KEY_MISSING
     assert codes(rig.arrive(method="PUT"))[0][1] is ResultCode.UNKNOWN_CLASS
     assert codes(rig.book("late", budget_s=0.0))[0][1] is ResultCode.DEADLINE_PASSED
-    assert codes(rig.book("late"))[0][1] is ResultCode.KEY_BURNED
+    assert codes(rig.book("late"))[0][1] is ResultCode.KEY_REVOKED
     rig.capacity.pools.clear()
     assert codes(rig.arrive())[0][1] is ResultCode.NO_SITE
     rig.handle(events.DrainStarted())
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -77,7 +77,7 @@
     assert table.outcome(make_key("far", life=200)).state is KeyState.UNKNOWN
 
 
-def test_an_outcome_query_burns_an_unseen_key(table):
+def test_an_outcome_query_revokes_an_unseen_key(table):
     """A delayed first request must not start after its caller was told "not run"."""
     assert table.outcome(make_key()).state is KeyState.NOT_RUN
     assert table.find(make_key(), b"d").state is KeyState.NOT_RUN
