--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from knapweeddock.grants import Slot
-from knapweeddock.health import ALL_SLOTS, REPORT_LIFE_S, ServerRecord
+from knapweeddock.health import ALL_SLOTS, ServerRecord
 from knapweeddock.ids import ServerId
 from knapweeddock.slots import SlotKey, key_of
 
@@ -45,17 +45,15 @@
         return _last_resort(aside, exclude, within, lowest)
     best: Slot | None = None
     best_load = inf
+    end = 0 if lowest else -1
     for server, slots, record, opened in fit:
-        if not slots or server in exclude:
-            continue
         load = in_flight.get(server, 0)
-        if record.in_flight:
-            reported = record.in_flight * (1.0 - (now - record.measured_at) / REPORT_LIFE_S)
-            load = reported if reported > load else load
-        if load > best_load:
+        if record.in_flight > load:
+            load = max(load, record.reported_load(now))
+        if load > best_load or not slots or server in exclude:
             continue
         if within is None and opened == ALL_SLOTS:
-            slot = slots[0 if lowest else -1]
+            slot = slots[end]
         else:
             slot = _pick(slots, opened, within, lowest)
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
@@ -85,11 +83,12 @@
         opened = record.opened
         if opened != ALL_SLOTS:
             opened = record.open_slots(now)
+            warming += opened != ALL_SLOTS
+        candidate = (server, slots, record, opened)
         if record.retry_at is not None and record.is_set_aside(now):
-            aside.append((server, slots, record, opened))
-            continue
-        fit.append((server, slots, record, opened))
-        warming += opened != ALL_SLOTS
+            aside.append(candidate)
+        else:
+            fit.append(candidate)
     if warming > len(fit) * SLOW_START_PART:
         fit = [(server, slots, record, ALL_SLOTS) for server, slots, record, _ in fit]
     return fit, aside
--- a/knapweeddock/entry/agentlink.py
+++ b/knapweeddock/entry/agentlink.py
@@ -21,7 +21,7 @@
 
 ROLE = "entry"
 
-REPORT_S = 0.5
+REPORT_S = 1.0
 """Time between two reports without a change."""
 
 REPORT_TIMEOUT_S = 1.0
--- a/knapweeddock/entry/dispatchloop.py
+++ b/knapweeddock/entry/dispatchloop.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from contextlib import suppress
 from dataclasses import dataclass
 
 import structlog
@@ -52,6 +53,11 @@
 TICK_S = 0.05
 """Time between two ticks of the dispatcher."""
 
+IDLE_TICK_S = 0.2
+"""Interval while no request is in the process. Shorter than ``LATE_TICK_S``, so that
+an idle process does not look like a paused one.
+"""
+
 LATE_TICK_S = 0.25
 """A tick is taken in before any other item when the last one is older."""
 
@@ -113,6 +119,7 @@
         node_state: The newest snapshot; None before the first one.
         configured: Set when there is a snapshot.
         changed: Set when something that the agent should know changed.
+        requested: Set when a request came in.
         pending: Requests without an answer.
         last_grant_end: When the newest grant to another entry ends.
     """
@@ -127,6 +134,7 @@
         self.node_state: NodeState | None = None
         self.configured = asyncio.Event()
         self.changed = asyncio.Event()
+        self.requested = asyncio.Event()
         self.pending: dict[RequestId, PendingRequest] = {}
         self.gone: dict[RequestId, PendingRequest] = {}
         self.attempt_requests: dict[AttemptId, RequestId] = {}
@@ -146,6 +154,7 @@
             answer=asyncio.get_running_loop().create_future(),
         )
         self.pending[pending.request] = pending
+        self.requested.set()
         self.queue.put_nowait(incoming.arrival)
         return pending
 
@@ -202,11 +211,21 @@
 
     @Service.task
     async def tick(self) -> None:
-        """Put a tick into the queue at regular intervals."""
+        """Put a tick into the queue at regular intervals, fewer while nothing waits."""
         while True:
-            await asyncio.sleep(TICK_S)
+            if self.pending or self.gone:
+                await asyncio.sleep(TICK_S)
+            else:
+                await self._wait_for_request(IDLE_TICK_S)
             self.queue.put_nowait(Tick())
 
+    async def _wait_for_request(self, seconds: float) -> None:
+        """Return when a request has come in, or after a time."""
+        self.requested.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.requested.wait()
+
     def take(self, item: Item) -> None:
         """Take one item in; a fault of one request must not stop the others."""
         now = self.clock.monotonic()
--- a/knapweeddock/entry/service.py
+++ b/knapweeddock/entry/service.py
@@ -11,7 +11,7 @@
 from knapweeddock.dispatcher import Dispatcher
 from knapweeddock.dispatchsettings import DispatchSettings, KeyLimits
 from knapweeddock.entry.agentlink import AgentLink
-from knapweeddock.entry.dispatchloop import TICK_S, DispatchLoop
+from knapweeddock.entry.dispatchloop import IDLE_TICK_S, DispatchLoop
 from knapweeddock.entry.entrymetrics import EntryMetrics
 from knapweeddock.entry.handling import RequestHandling
 from knapweeddock.entry.httpclient import HttpClient
@@ -278,7 +278,7 @@
         except TimeoutError:
             log.error("requests still run at the limit of the stop", active=self.handling.active)
         # One more tick lets the slots settle before the last report.
-        await asyncio.sleep(2 * TICK_S)
+        await asyncio.sleep(2 * IDLE_TICK_S)
 
     def _is_busy(self) -> bool:
         return bool(
--- a/knapweeddock/health.py
+++ b/knapweeddock/health.py
@@ -98,6 +98,10 @@
             self.next_open_at = None
         return self.opened
 
+    def reported_load(self, now: float) -> float:
+        """Return the reported requests, discounted by the age of the report."""
+        return self.in_flight * (1.0 - (now - self.measured_at) / REPORT_LIFE_S)
+
     def is_set_aside(self, now: float) -> bool:
         """Whether the server gets no request now because it failed."""
         return self.retry_at is not None and (self.trial or now < self.retry_at)
