Prefer other servers for a second after a shed

Cause: a server that sheds everything has the fewest requests, so the choice by load took it first, again and again. Each shed costs a retry, and with one such server per site the retry budget ran out: the scenario 'sheds everything' failed once on a loaded machine with calls that ended as not run.

Ruled out: counting a shed as a failure, which would set a server aside that is only full for a moment.

--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from knapweeddock.grants import Slot
-from knapweeddock.health import ALL_SLOTS, ServerRecord
+from knapweeddock.health import ALL_SLOTS, SHED_LOAD, ServerRecord
 from knapweeddock.ids import ServerId
 from knapweeddock.slots import SlotKey, key_of
 
@@ -27,9 +27,9 @@
 ) -> Slot | None:
     """Return the free slot to use next.
 
-    The server with the fewest own requests and the smallest reported load is
-    best. Reports include this entry's own requests, so the larger of both
-    counts. Servers that are set aside are used only when all servers are.
+    The server with the fewest own requests and the smallest reported load is best;
+    reports include own requests, so the larger of both counts. Servers that shed a
+    moment ago come last. Those set aside are used only when all servers are.
 
     Args:
         free: Free slots by server, in rank order; may be none for a server.
@@ -45,15 +45,16 @@
         return _last_resort(aside, exclude, within, lowest)
     best: Slot | None = None
     best_load = inf
-    end = 0 if lowest else -1
     for server, slots, record, opened in fit:
         load = in_flight.get(server, 0)
         if record.in_flight > load:
             load = max(load, record.reported_load(now))
+        if record.shed_until > now:
+            load += SHED_LOAD
         if load > best_load or not slots or server in exclude:
             continue
         if within is None and opened == ALL_SLOTS:
-            slot = slots[end]
+            slot = slots[0 if lowest else -1]
         else:
             slot = _pick(slots, opened, within, lowest)
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
--- a/knapweeddock/health.py
+++ b/knapweeddock/health.py
@@ -26,6 +26,13 @@
 REPORT_LIFE_S = 5.0
 """Age at which a reported load has lost its weight."""
 
+SHED_HOLD_S = 1.0
+"""Time after a shed in which other servers are preferred. A server that sheds
+everything has the fewest requests and would otherwise be chosen first."""
+
+SHED_LOAD = 1000.0
+"""Load that a server counts as having in that time."""
+
 ALL_SLOTS = 1 << 30
 WARM_AT = 64
 """Open slots at which a server counts as fully open."""
@@ -40,6 +47,7 @@
         failures: Failures in a row.
         retry_at: When a trial request may be sent; None when not set aside.
         trial: Whether the trial request is running.
+        shed_until: Until when other servers are preferred after a shed.
         left_at: Last sign from the server itself that it is leaving.
         left_hold_s: Time for which that sign outweighs an ``ok``.
         listed_leaving: Whether configuration or VM list name it as leaving.
@@ -61,6 +69,7 @@
         "opened",
         "retry_at",
         "seen",
+        "shed_until",
         "trial",
     )
 
@@ -71,6 +80,7 @@
         self.backoff = BACKOFF_START_S
         self.retry_at: float | None = None
         self.trial = False
+        self.shed_until = float("-inf")
         self.left_at: float | None = None
         self.left_hold_s = LEAVING_HOLD_S
         self.listed_leaving = False
@@ -192,7 +202,10 @@
             case SlotOutcome.FAILED:
                 record.trial = False
                 self._failed(record, now)
-            case SlotOutcome.SHED | SlotOutcome.UNUSED:
+            case SlotOutcome.SHED:
+                record.trial = False
+                record.shed_until = now + SHED_HOLD_S
+            case SlotOutcome.UNUSED:
                 record.trial = False
 
     def _answered(self, record: ServerRecord, now: float) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -37,6 +37,15 @@
     assert choose(FREE, records, {}, 6.0).server == "b"
 
 
+def test_server_that_shed_a_moment_ago_is_used_last():
+    """Guards against a server that sheds everything and attracts all work by being idle."""
+    records = make_records()
+    records["b"].shed_until = 1.0
+    assert choose(FREE, records, {"a": 2}, 0.5).server == "a"
+    assert choose(FREE, records, {"a": 2}, 0.5, exclude={"a"}).server == "b"
+    assert choose(FREE, records, {"a": 2}, 1.0).server == "b"
+
+
 def test_excluded_leaving_and_unknown_servers_are_not_used():
     records = make_records()
     assert choose(FREE, records, {}, 0.0, exclude={"b"}).server == "a"
