--- a/knapweeddock/choice.py
+++ b/knapweeddock/choice.py
@@ -41,8 +41,6 @@
         lowest: Whether to prefer low ranks (remote work) to high ones.
     """
     fit, aside = split_by_health(free, records, now)
-    if not fit:
-        return _last_resort(aside, exclude, within, lowest)
     best: Slot | None = None
     best_load = inf
     for server, slots, record, opened in fit:
@@ -60,7 +58,7 @@
         if slot is not None and (load < best_load or (slot.rank < best.rank) == lowest):
             best = slot
             best_load = load
-    return best
+    return best if fit else _last_resort(aside, exclude, within, lowest)
 
 
 def split_by_health(
