--- a/knapweeddock/entry/__main__.py
+++ b/knapweeddock/entry/__main__.py
@@ -19,9 +19,6 @@
 FAILED_STATUS = 1
 """Exit status of a process that crashed or that its peers recorded as gone."""
 
-SERVICE = EntryService
-"""Service that the process runs; the load tool puts its baseline here."""
-
 app = cyclopts.App(name="knapweed-entry", help="Take callers' requests for one VM.")
 
 
@@ -32,22 +29,26 @@
     Args:
         settings: Settings file, JSON with comments.
     """
+    return run_with_settings(settings, EntryService)
+
+
+def run_with_settings(settings: Path, service_type: type[EntryService]) -> int:
+    """Run an entry service with a settings file and return the exit status."""
     try:
         loaded = load_settings(settings, EntrySettings)
     except KnapweedError as error:
         print(error, file=sys.stderr)
         return exit_status(error.code)
     configure_logs(level=loaded.log_level, process="knapweed-entry", vm=loaded.vm)
-    return asyncio.run(run(loaded))
+    return asyncio.run(run(service_type(settings=loaded)))
 
 
-async def run(settings: EntrySettings) -> int:
-    """Run the daemon and return its exit status."""
+async def run(service: EntryService) -> int:
+    """Run the daemon until a signal and return its exit status."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    service = SERVICE(settings=settings)
     try:
         await service.start()
     except OSError as error:
