Report a new version in force at once

Cause: an entry reported its version with the next regular report.

A new version is now a reason to report. The new test fails without the change.

--- a/knapweeddock/entry/dispatchloop.py
+++ b/knapweeddock/entry/dispatchloop.py
@@ -244,10 +244,7 @@
             case AttemptResult():
                 self._attempt_result(item, now)
             case StateUpdate(state=state):
-                self.node_state = state
-                self.configured.set()
-                self.dispatcher.update(state, now)
-                self._handle(Tick(), now)
+                self._take_state(state, now)
             case ServerReport() as report:
                 self.dispatcher.capacity.observe(report, now)
             case OutcomeQuery():
@@ -269,6 +266,16 @@
             case _:
                 self._handle(item, now)
 
+    def _take_state(self, state: NodeState, now: float) -> None:
+        before = self.node_state
+        if before is None or before.config_version != state.config_version:
+            # Operators wait for the report of the version in force.
+            self.changed.set()
+        self.node_state = state
+        self.configured.set()
+        self.dispatcher.update(state, now)
+        self._handle(Tick(), now)
+
     def _handle(self, event: Event, now: float) -> None:
         for action in self.dispatcher.handle(event, now):
             try:
--- a/tests/entry/test_agentlink.py
+++ b/tests/entry/test_agentlink.py
@@ -3,6 +3,7 @@
 
 from grpclib.server import Server
 
+from knapweeddock.entry import agentlink
 from knapweeddock.nodestate import state_to_message
 from knapweeddock.proto.knapweed_grpc import NodeBase
 from knapweeddock.proto.knapweed_pb2 import NodeStateMessage, ReportReply
@@ -85,6 +86,18 @@
         await until(lambda: service.loop_service.node_state.config_version == 2)
 
 
+async def test_a_new_version_is_reported_at_once(monkeypatch):
+    """Guards against operators who wait for the next regular report of a change."""
+    monkeypatch.setattr(agentlink, "REPORT_S", 3600.0)
+    async with agent_and_entry() as (agent, service, config):
+        await until(lambda: agent.reports[-1].state == "serving")
+        await until(lambda: agent.reports[-1].settled_views)
+        await until(lambda: not service.loop_service.changed.is_set())
+        await agent.send(message_of(service, config, 7))
+        await until(lambda: agent.reports[-1].config_version == 7)
+        assert agent.reports[-1].config_version == 7
+
+
 async def test_an_agent_that_is_behind_does_not_take_the_configuration_back():
     """Guards against a restarted agent that reverts an accepted configuration."""
     async with agent_and_entry() as (agent, service, config):
