Let the VM list lag and bound a server's connections in the stand-ins

The platform's VM list is described as lagging and servers as taking about 400 connections; the stand-ins had neither. A fault sets the age of the list that is served, and a server sheds what comes while more connections are open than it takes.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -102,6 +102,7 @@
         connections: Connections that have brought a request.
         silenced: Connections that no longer answer.
         delays: One-way delay in seconds from the domain of each entry VM.
+        runner: Runner of the server's application, None before its start.
     """
 
     name: str
@@ -117,6 +118,7 @@
     connections: set[object] = field(default_factory=set)
     silenced: set[object] = field(default_factory=set)
     delays: dict[str, float] = field(default_factory=dict)
+    runner: web.AppRunner | None = None
 
 
 STATE = web.AppKey("state", ServerState)
@@ -183,6 +185,11 @@
     }
 
 
+def is_crowded(state: ServerState) -> bool:
+    """Return whether more connections are open than the server takes."""
+    return state.runner is not None and len(state.runner.server.connections) > MAX_CONNECTIONS
+
+
 async def serve(request: web.Request) -> web.StreamResponse:
     """Run one request in a slot, or shed it."""
     state = request.app[STATE]
@@ -196,7 +203,7 @@
     if state.faults.close_after_read and request.transport is not None:
         request.transport.close()
         return web.Response()
-    if state.faults.shed or state.in_flight >= state.slots:
+    if state.faults.shed or state.in_flight >= state.slots or is_crowded(state):
         state.shed_count += 1
         headers = {"Backend-Not-Run": "1", "Retry-After": "1", **leaving_header(state)}
         return web.Response(status=503, headers=headers)
@@ -274,6 +281,7 @@
 async def start_server(state: ServerState, port: int, host: str = "127.0.0.1") -> web.AppRunner:
     """Start one server; return the runner to clean up."""
     runner = web.AppRunner(create_app(state), access_log=None, handler_cancellation=True)
+    state.runner = runner
     await runner.setup()
     await web.TCPSite(runner, host, port, backlog=MAX_CONNECTIONS).start()
     return runner
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -20,6 +20,7 @@
         lose_answers: Number of following writes that take effect and whose
             connection is closed without an answer.
         silent_watches: Whether watches never answer, not even at their timeout.
+        vm_lag_s: Age of the VM list that is served.
     """
 
     down: bool = False
@@ -27,6 +28,7 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     silent_watches: bool = False
+    vm_lag_s: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -64,7 +66,7 @@
     Attributes:
         objects: Values by key.
         next_version: Version of the next write; versions are unique over all keys.
-        vms: Entries of the VM list, as they are served.
+        vm_lists: The VM lists so far, each with the monotonic time of its start.
         faults: Faults that are switched on.
         calls: Number of calls by kind.
         changed: Set and replaced on each write, to wake watches.
@@ -72,7 +74,7 @@
 
     objects: dict[str, StoredValue] = field(default_factory=dict)
     next_version: int = 1
-    vms: list[dict[str, str]] = field(default_factory=list)
+    vm_lists: list[tuple[float, list[dict[str, str]]]] = field(default_factory=list)
     faults: PlatformFaults = field(default_factory=PlatformFaults)
     calls: dict[str, int] = field(default_factory=dict)
     reads: CallBudget = field(default_factory=lambda: CallBudget(rate_per_s=READS_PER_S))
@@ -97,6 +99,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def vms_at(self, moment: float) -> list[dict[str, str]]:
+        """Return the VM list that was current at a monotonic time, the first one before."""
+        current = self.vm_lists[0][1] if self.vm_lists else []
+        for started_at, vms in self.vm_lists:
+            if started_at <= moment:
+                current = vms
+        return current
+
     def version_of(self, key: str) -> int:
         """Return the version of ``key``, 0 when it does not exist."""
         stored = self.objects.get(key)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -140,8 +140,10 @@
 
 
 async def list_vms(request: web.Request) -> web.Response:
-    """Answer the VM list."""
-    return web.json_response({"vms": request.app[STATE].vms})
+    """Answer the VM list, as old as the faults have it."""
+    state = request.app[STATE]
+    moment = time.monotonic() - state.faults.vm_lag_s
+    return web.json_response({"vms": state.vms_at(moment)})
 
 
 async def set_faults(request: web.Request) -> web.Response:
@@ -154,7 +156,7 @@
 
 async def set_vms(request: web.Request) -> web.Response:
     """Replace the VM list."""
-    request.app[STATE].vms = await request.json()
+    request.app[STATE].vm_lists.append((time.monotonic(), await request.json()))
     return web.Response()
 
 
