--- a/knapweeddock/grants.py
+++ b/knapweeddock/grants.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.ids import FailureDomainId, GrantId, Incarnation, PoolId, ServerId, SiteId, VmId
+from knapweeddock.ids import FailureDomainId, GrantId, Incarnation, ServerId, SiteId, VmId
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -142,11 +142,3 @@
     health: ServerHealth
     in_flight: int | None
     measured_at: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PoolDemand:
-    """Work that waits for slots of a pool."""
-
-    pool: PoolId
-    waiting: int
