Read lists again after a watch breaks

Cause: a watch that is repeated from its old revision right after the store cut it can wait without ever hearing of the changes that the cut lost; it is then told only by the next change or at its end. Ruled out: the list call (it returned the new version at once). The list is read in place of a new watch, and all lists when one topic's history is gone.

--- a/knapweeddock/gateway/following.py
+++ b/knapweeddock/gateway/following.py
@@ -13,8 +13,9 @@
 
 log = structlog.get_logger(__name__)
 
-WATCH_S = 25.0
-"""Time in seconds for which the store may hold a watch; each one is a priced call."""
+WATCH_PART = 0.75
+"""Time for which the store may hold a watch, relative to the time for which it keeps
+its history: what a watch returns is then recent enough for the next one."""
 
 BATCH_S = {
     Topic.CONFIGURATION: 0.1,
@@ -25,7 +26,7 @@
 """Pause in seconds between two watches, in which further changes collect; each
 watch is a priced call, and servers register and leave by the dozen."""
 
-RETRY_START_S = 0.1
+RETRY_START_S = 0.05
 RETRY_MAX_S = 0.6
 """Bounds of the pause in seconds before a failed call is repeated; kept under the
 time within which a store that is back must be noticed."""
@@ -49,16 +50,19 @@
         view: View,
         silence_s: float,
         lapse_s: float,
+        history_s: float,
         rng: random.Random,
     ) -> None:
         self.catalog = catalog
         self.view = view
         self.silence_s = silence_s
         self.lapse_s = lapse_s
+        self.watch_s = WATCH_PART * history_s
         self.rng = rng
         self.connected = True
         self.returned_at = float("-inf")
         self._waiting: dict[Topic, asyncio.Task[object]] = {}
+        self._revisions: dict[Topic, Revision] = {}
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -76,33 +80,37 @@
         return max(0.0, self.returned_at + self.lapse_s - time.monotonic())
 
     async def _follow(self, topic: Topic) -> None:
-        revision: Revision | None = None
         failures = 0
         while True:
             try:
-                if revision is None:
-                    revision = await self._read(topic)
+                if topic in self._revisions:
+                    await self._watch(topic)
                 else:
-                    revision = await self._watch(topic, revision)
+                    await self._read(topic)
                 failures = 0
             except HistoryGone:
-                log.info("history gone; reading the whole list", topic=topic.value)
-                revision = None
+                log.info("history gone; reading all lists", topic=topic.value)
+                self._forget_revisions()
             except StoreError as error:
                 failures += 1
-                if failures > 1 or revision is None:
-                    # One watch that breaks off is no outage.
+                was_watching = self._revisions.pop(topic, None) is not None
+                if was_watching:
+                    # The list tells what a broken watch has missed; a new watch from
+                    # the same revision may wait without ever hearing of it.
+                    log.info("watch broken", topic=topic.value, reason=str(error))
+                else:
                     self._lost(str(error))
-                    await self._pause(failures)
+                await self._pause(failures)
 
-    async def _read(self, topic: Topic) -> Revision:
+    async def _read(self, topic: Topic) -> None:
         snapshot = await self.catalog.snapshot(topic)
         self._answered()
         self.view.take_snapshot(topic, snapshot, grace_s=self.grace_s())
-        return snapshot.revision
+        self._revisions[topic] = snapshot.revision
 
-    async def _watch(self, topic: Topic, revision: Revision) -> Revision:
-        task = asyncio.create_task(self.catalog.changes(topic, revision, WATCH_S))
+    async def _watch(self, topic: Topic) -> None:
+        revision = self._revisions[topic]
+        task = asyncio.create_task(self.catalog.changes(topic, revision, self.watch_s))
         self._waiting[topic] = task
         try:
             await asyncio.wait([task])
@@ -110,15 +118,25 @@
             task.cancel()
             del self._waiting[topic]
         if task.cancelled():
-            # The ping found the store silent; the watch may be lost.
-            return revision
+            # The watch may be lost, or wait at a revision whose history is gone.
+            return
         found = task.result()
         self._answered()
         for change in found.changes:
             self.view.take_change(topic, change, grace_s=self.grace_s())
+        if self._revisions.get(topic) == revision:
+            self._revisions[topic] = found.revision
         if found.changes:
             await asyncio.sleep(BATCH_S[topic])
-        return found.revision
+
+    def _forget_revisions(self) -> None:
+        """Read all lists again.
+
+        A watch that began shortly before the history was lost may wait on
+        without hearing of what was lost.
+        """
+        self._revisions.clear()
+        self._restart_watches()
 
     async def _ping(self) -> None:
         failures = 0
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -90,6 +90,7 @@
             view=self.view,
             silence_s=bounds.store_silence_s,
             lapse_s=bounds.server_lapse_s,
+            history_s=self.settings.store.history_s,
             rng=self.rng,
         )
         self.peers = Peers(
