Send objects to few homes and refuse before queues are long

Ruled out: lack of slots (all-warm work needs 47 of 84). Now an object has as many homes as the servers' memory allows, a request that cannot end within its target is refused at once, and regions share load from 0.35 on.

--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -109,6 +109,7 @@
     if run is not None:
         fields["route"] = run.route.route
         fields["service"] = run.service
+        fields["object"] = run.facts.object_key
         fields["remaining_s"] = round(run.deadline - time.monotonic(), 3)
     if best is not None:
         fields["server"] = best.server.entry.server
--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -7,7 +7,7 @@
 
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.peers import Heartbeat
-from knapweeddock.gateway.spill import SpillShares, divide
+from knapweeddock.gateway.spill import Shares, SpillShares, divide
 from knapweeddock.gateway.worktimes import WorkTimes
 from knapweeddock.ids import RegionId, ServiceId
 
@@ -16,10 +16,14 @@
 RATE_FADE_S = 2.0
 """Time constant in seconds of the measured request rate."""
 
-SHIFT_PART = 0.35
-"""Part of the bound on shifts, given for two seconds, that shares move per second."""
+SHIFT_PART = 0.27
+"""Part of the bound on shifts, given for two seconds, that shares move per second;
+single requests that move besides and the noise of short windows need the rest."""
 
-FIRST_GOAL_S = 1.0
+FIRST_STEP_PART = 0.5
+"""Part of the bound on shifts that shares move at once at the start of traffic."""
+
+FIRST_GOAL_S = 0.7
 """Time in seconds of traffic after which the first shares are set."""
 
 
@@ -65,6 +69,7 @@
         self.fleet = fleet
         self.work = work
         self.rate_per_s = SHIFT_PART * shift_bound
+        self.first_step = FIRST_STEP_PART * shift_bound
         self.heartbeats = heartbeats
         self.spills: dict[ServiceId, SpillShares] = {}
         self._rates: dict[ServiceId, RequestRate] = {}
@@ -102,11 +107,36 @@
             }
             spill = self.spills.get(service)
             if spill is None:
-                spill = SpillShares(origin=self.region, rate_per_s=self.rate_per_s)
+                spill = SpillShares(
+                    origin=self.region,
+                    rate_per_s=self.rate_per_s,
+                    first=self._shares_of_others(service, others),
+                    first_step=self.first_step,
+                )
                 self.spills[service] = spill
             spill.follow(divide(self.region, work, slots), now)
             self._report(service, spill, work, slots)
 
+    def shares(self) -> dict[ServiceId, Shares]:
+        """Return the shares in force by service."""
+        return {
+            service: {region: round(share, 3) for region, share in spill.current.items()}
+            for service, spill in self.spills.items()
+        }
+
+    def _shares_of_others(self, service: ServiceId, others: list[Heartbeat]) -> Shares:
+        """Return the mean shares of the region's gateways, so that one that starts joins them."""
+        found = [
+            heartbeat.shares[service]
+            for heartbeat in others
+            if heartbeat.region == self.region and service in heartbeat.shares
+        ]
+        total: Shares = {}
+        for shares in found:
+            for region, share in shares.items():
+                total[region] = total.get(region, 0.0) + share / len(found)
+        return total
+
     def _report(
         self,
         service: ServiceId,
--- a/knapweeddock/gateway/judgement.py
+++ b/knapweeddock/gateway/judgement.py
@@ -78,8 +78,9 @@
             placed.server.standing.responded(failed=True, slowness=None, now=now)
             return
         work_s = elapsed_s - placed.wait_s - (OTHER_REGION_DELAY_S if placed.remote else 0.0)
-        expected_s = max(0.001, placed.expected_s)
-        placed.server.standing.responded(failed=False, slowness=elapsed_s / expected_s, now=now)
+        # A wait may be longer than estimated because of others; it says nothing of speed.
+        slowness = elapsed_s / max(0.001, placed.expected_s) if placed.wait_s == 0 else None
+        placed.server.standing.responded(failed=False, slowness=slowness, now=now)
         if work_s > 0 and placed.certain:
             self.work.observe(run.route, run.service, known=placed.known, work_s=work_s)
 
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -44,6 +44,7 @@
         phase: Whether it takes new clients.
         region: Its region.
         work: Slots that its clients keep busy, by service.
+        shares: Part of its requests that runs in each region, by service.
     """
 
     vm: VmId
@@ -51,6 +52,7 @@
     phase: GatewayPhase
     region: RegionId
     work: dict[ServiceId, float]
+    shares: dict[ServiceId, dict[RegionId, float]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -21,8 +21,12 @@
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
 from knapweeddock.rendezvous import HASH_RANGE, hash_parts
 
-CANDIDATES = 3
-"""Servers of a region that are considered for an object."""
+MAX_HOMES = 3
+"""Largest number of servers of a region that an object is sent to."""
+
+KEPT_OBJECTS = 16
+"""Objects that a server is assumed to know at a time. With more, each one pushes
+out another before it comes again, and every request is dear."""
 
 OTHER_REGION_DELAY_S = 0.026
 """Round trip in seconds to another region that is assumed in comparisons."""
@@ -30,11 +34,19 @@
 OVERFLOW_WAIT_PART = 0.5
 """Wait relative to the target latency above which other regions are considered."""
 
-MAX_WAIT_PART = 1.0
-"""Wait relative to the target latency above which a request is refused."""
+LATEST_PART = 1.0
+"""Expected time to the response, relative to the target latency, above which a
+request is refused: a longer queue would make all requests late, none more served."""
+
+URGENT_LATEST_PART = 1.25
+"""The same for urgent routes, so that they are refused last."""
+
+URGENT_PRIORITY = 1
+"""Largest priority number of an urgent route."""
 
-URGENT_WAIT_PART = 1.5
-"""The same for the most urgent routes of a service, so that they are refused last."""
+MIN_WAIT_PART = 0.25
+"""Wait relative to the target latency that is always accepted, so that routes
+whose work exceeds their target are served at all."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 1.0
@@ -136,7 +148,7 @@
         if not regions:
             return self._refused(ResultCode.NO_SITE)
         home = self._home(request, regions)
-        best = self._best(request, home, now)
+        best = self._best(request, home, now, is_home=True)
         if best is None or self._waits_long(request, best):
             best = self._overflow(request, regions, home, best, now)
         if best is None:
@@ -153,7 +165,7 @@
         if server.is_cold(now):
             coldstart.take(server.sent_at, self.cold_part(server), now)
         if request.key:
-            self.work.handled(server.entry.server, request.key, now)
+            self.work.handled(request.service, server.entry.server, request.key, now)
         self.shift_limit.record(request.service, remote=placed.remote, now=now)
 
     # Regions
@@ -193,28 +205,55 @@
         for region in regions:
             if region == home:
                 continue
-            other = self._best(request, region, now)
-            if other is not None and (best is None or other.expected_s < best.expected_s):
+            other = self._best(request, region, now, is_home=False)
+            if other is None or (best is not None and other.wait_s > 0):
+                # Work on a new object takes several times as long; only idle servers
+                # gain by it.
+                continue
+            if best is None or other.expected_s < best.expected_s:
                 best = other
         return best
 
     # Servers
 
-    def _best(self, request: PlacementRequest, region: RegionId, now: float) -> Placed | None:
-        """Return the server of ``region`` that is expected to respond first."""
+    def _best(
+        self, request: PlacementRequest, region: RegionId, now: float, *, is_home: bool
+    ) -> Placed | None:
+        """Return the server of ``region`` that is expected to respond first.
+
+        Only as many servers are compared as the object has homes there; those
+        after them in its order take the place of homes that cannot be used.
+
+        Args:
+            request: The request.
+            region: The region.
+            now: Monotonic time.
+            is_home: Whether requests for the object usually run in the region.
+        """
         best: Placed | None = None
+        ranked = self._ranked(request, region)
+        homes = self._homes(request.service, len(ranked), now)
         considered = 0
-        for rank, server in enumerate(self._ranked(request, region)):
+        for rank, server in enumerate(ranked):
             if not self._may_send(server, request, now):
                 continue
-            placed = self._expect(request, server, rank, now)
+            expected_rank = rank if is_home and rank < homes else None
+            placed = self._expect(request, server, now, home_rank=expected_rank)
             if best is None or _cost(placed, now) < _cost(best, now):
                 best = placed
             considered += 1
-            if considered == CANDIDATES:
+            if considered == homes:
                 break
         return best
 
+    def _homes(self, service: ServiceId, servers: int, now: float) -> int:
+        """Return to how many servers of a region an object is sent.
+
+        More homes even out the load, but each server then has to know more objects.
+        """
+        objects = max(1, self.work.objects(service, now))
+        return max(1, min(MAX_HOMES, KEPT_OBJECTS * servers // objects))
+
     def _may_send(self, server: ServerState, request: PlacementRequest, now: float) -> bool:
         if server.entry.server in request.tried or not server.standing.is_usable():
             return False
@@ -223,20 +262,37 @@
         return coldstart.take(server.sent_at, self.cold_part(server), now, dry=True)
 
     def _expect(
-        self, request: PlacementRequest, server: ServerState, rank: int, now: float
+        self,
+        request: PlacementRequest,
+        server: ServerState,
+        now: float,
+        *,
+        home_rank: int | None,
     ) -> Placed:
+        """Return what to expect of ``server``.
+
+        Args:
+            request: The request.
+            server: The server.
+            now: Monotonic time.
+            home_rank: Its place among the object's homes; None when it is no home.
+        """
         seen = bool(request.key) and self.work.knows(server.entry.server, request.key, now)
-        # Other gateways send the object to its first server too.
-        known = seen or (bool(request.key) and rank == 0)
+        # Other gateways send the object to its first home as well.
+        known = seen or (bool(request.key) and home_rank == 0)
         slowness = server.standing.slowness(now)
         mean_s = self.work.mean_s(request.service, request.route)
         before = server.load.total(now) + 1 - server.entry.slots
+        work_s = self.work.expected_s(request.route, known=known)
+        if not known and home_rank is not None:
+            # Others may have sent it there while its first home was busy.
+            work_s = (work_s + self.work.expected_s(request.route, known=True)) / 2
         return Placed(
             server=server,
             known=known,
-            certain=seen or not known,
+            certain=seen or home_rank is None,
             wait_s=max(0.0, before) / server.entry.slots * mean_s * slowness,
-            work_s=self.work.expected_s(request.route, known=known) * slowness,
+            work_s=work_s * slowness,
             remote=server.entry.region != self.region,
         )
 
@@ -262,8 +318,9 @@
         return placed.wait_s > OVERFLOW_WAIT_PART * request.route.target_latency_s
 
     def _longest_wait(self, route: Route) -> float:
-        part = URGENT_WAIT_PART if route.priority <= 1 else MAX_WAIT_PART
-        return part * route.target_latency_s
+        part = URGENT_LATEST_PART if route.priority <= URGENT_PRIORITY else LATEST_PART
+        left_s = part * route.target_latency_s - self.work.expected_s(route, known=True)
+        return max(MIN_WAIT_PART * route.target_latency_s, left_s)
 
     def _refused(self, code: ResultCode, best: Placed | None = None) -> Refused:
         wait_s = best.wait_s if best is not None else 0.0
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -255,6 +255,7 @@
             phase=self.phase,
             region=self.settings.region,
             work=self.demand.own_work(time.monotonic()),
+            shares=self.demand.shares(),
         )
 
     async def _answer_ready(self, request: IncomingRequest) -> None:
--- a/knapweeddock/gateway/spill.py
+++ b/knapweeddock/gateway/spill.py
@@ -10,10 +10,11 @@
 
 from knapweeddock.ids import RegionId
 
-TARGET_LOAD = 0.5
-"""Busy part of a region's slots above which requests move to other regions."""
+TARGET_LOAD = 0.35
+"""Busy part of a region's slots above which requests move to other regions. Shares
+move slowly, so they have to move long before the region is full."""
 
-MAX_STEP_S = 0.25
+MAX_STEP_S = 0.5
 """Longest time in seconds that one step of the shares accounts for."""
 
 Shares = dict[RegionId, float]
@@ -58,22 +59,27 @@
     """Shares of one service that follow their goal at a bounded rate.
 
     Attributes:
-        current: Shares in force; empty before the first goal.
+        current: Shares in force.
+        rate_per_s: Part of the requests that may move per second.
+        first_step: Part of the requests that may move at once at the start of
+            traffic, when no gateway has shares yet.
     """
 
-    def __init__(self, *, origin: RegionId, rate_per_s: float) -> None:
+    def __init__(
+        self, *, origin: RegionId, rate_per_s: float, first: Shares, first_step: float
+    ) -> None:
         self.origin = origin
         self.rate_per_s = rate_per_s
-        self.current: Shares = {}
+        self.current: Shares = dict(first) or {origin: 1.0}
+        self.first_step = 0.0 if first else first_step
         self.moved_at: float | None = None
 
     def follow(self, goal: Shares, now: float) -> None:
         """Move the shares towards ``goal``."""
         if self.moved_at is None:
-            self.current = dict(goal)
-            self.moved_at = now
-            return
-        step = self.rate_per_s * min(MAX_STEP_S, max(0.0, now - self.moved_at))
+            step = self.first_step
+        else:
+            step = self.rate_per_s * min(MAX_STEP_S, max(0.0, now - self.moved_at))
         self.moved_at = now
         distance = sum(
             abs(goal.get(region, 0.0) - self.current.get(region, 0.0))
@@ -99,7 +105,7 @@
             position: Place of the object, 0 to 1.
         """
         edge = self.current.get(self.origin, 0.0)
-        if position < edge or not self.current:
+        if position < edge:
             return self.origin
         for region in sorted(self.current):
             if region == self.origin:
--- a/knapweeddock/gateway/worktimes.py
+++ b/knapweeddock/gateway/worktimes.py
@@ -1,6 +1,7 @@
 """How long servers work on requests, learned from responses."""
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from knapweeddock.gateway.routes import Route
 from knapweeddock.ids import RouteId, ServerId, ServiceId
@@ -19,6 +20,15 @@
 KNOWN_FOR_S = 20.0
 """Time in seconds after which a server may have dropped an object that it had."""
 
+COUNT_INTERVAL_S = 1.0
+"""Interval in seconds at which objects are counted."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Count:
+    at: float
+    objects: int
+
 
 class WorkTimes:
     """Moving averages of the time that servers work, in seconds."""
@@ -26,6 +36,8 @@
     def __init__(self) -> None:
         self._by_route: dict[tuple[RouteId, bool], float] = {}
         self._by_service: dict[ServiceId, float] = {}
+        self._seen: dict[ServiceId, dict[str, float]] = {}
+        self._counted: dict[ServiceId, _Count] = {}
         self._objects: OrderedDict[tuple[ServerId, str], float] = OrderedDict()
 
     def expected_s(self, route: Route, *, known: bool) -> float:
@@ -56,8 +68,20 @@
         at = self._objects.get((server, key))
         return at is not None and now - at < KNOWN_FOR_S
 
-    def handled(self, server: ServerId, key: str, now: float) -> None:
+    def objects(self, service: ServiceId, now: float) -> int:
+        """Return how many objects requests to ``service`` concerned lately."""
+        counted = self._counted.get(service)
+        if counted is None or now - counted.at >= COUNT_INTERVAL_S:
+            seen = self._seen.get(service, {})
+            for key in [key for key, at in seen.items() if now - at >= KNOWN_FOR_S]:
+                del seen[key]
+            counted = _Count(at=now, objects=len(seen))
+            self._counted[service] = counted
+        return counted.objects
+
+    def handled(self, service: ServiceId, server: ServerId, key: str, now: float) -> None:
         """Note that the server has handled the object."""
+        self._seen.setdefault(service, {})[key] = now
         self._objects[server, key] = now
         self._objects.move_to_end((server, key))
         if len(self._objects) > REMEMBERED_OBJECTS:
