Ignore failed calls to the store that began before the last answer

Cause: after a cut, calls that had waited for a connection failed one after the other although newer ones were answered. Ruled out: a stale list (the log shows the removal at the first list after the grace).

--- a/knapweeddock/gateway/following.py
+++ b/knapweeddock/gateway/following.py
@@ -61,6 +61,7 @@
         self.rng = rng
         self.connected = True
         self.returned_at = float("-inf")
+        self._answered_at = float("-inf")
         self._waiting: dict[Topic, asyncio.Task[object]] = {}
         self._revisions: dict[Topic, Revision] = {}
 
@@ -82,6 +83,7 @@
     async def _follow(self, topic: Topic) -> None:
         failures = 0
         while True:
+            started_at = time.monotonic()
             try:
                 if topic in self._revisions:
                     await self._watch(topic)
@@ -99,7 +101,7 @@
                     # the same revision may wait without ever hearing of it.
                     log.info("watch broken", topic=topic.value, reason=str(error))
                 else:
-                    self._lost(str(error))
+                    self._failed(str(error), started_at)
                 await self._pause(failures)
 
     async def _read(self, topic: Topic) -> None:
@@ -141,11 +143,12 @@
     async def _ping(self) -> None:
         failures = 0
         while True:
+            started_at = time.monotonic()
             try:
                 await self.catalog.ping()
             except StoreError as error:
                 failures += 1
-                self._lost(str(error))
+                self._failed(str(error), started_at)
                 if failures == 1:
                     self._restart_watches()
                 await self._pause(failures)
@@ -164,13 +167,17 @@
         pause_s = min(RETRY_MAX_S, RETRY_START_S * 2 ** min(failures, 8))
         await asyncio.sleep(pause_s * (0.5 + 0.5 * self.rng.random()))
 
-    def _lost(self, reason: str) -> None:
+    def _failed(self, reason: str, started_at: float) -> None:
+        """Note a failed call, unless another one was answered after its start."""
+        if started_at < self._answered_at:
+            return
         if self.connected:
             log.warning("store lost", reason=reason)
         self.connected = False
 
     def _answered(self) -> None:
+        self._answered_at = time.monotonic()
         if not self.connected:
-            self.returned_at = time.monotonic()
+            self.returned_at = self._answered_at
             log.info("store regained")
         self.connected = True
