--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -80,9 +80,10 @@
     idempotent: bool
 
     @property
-    def repeatable(self) -> bool:
-        """Whether the whole body is at hand for another attempt."""
-        return self.request.body.complete
+    def has_whole_body(self) -> bool:
+        """Whether ``body_start`` is the whole body, so that another attempt can have it."""
+        body = self.request.body
+        return body.complete and body.received == len(self.body_start)
 
 
 class Attempts:
@@ -125,9 +126,9 @@
         server = placed.server.entry.server
         head = outgoing.request.head
         headers = self.wire.server_request(head, server=server, remaining_s=remaining_s)
-        body = outgoing.request.body
         chunked = False
-        if body.complete:
+        whole = outgoing.has_whole_body
+        if whole:
             if head.has_body or outgoing.body_start:
                 headers.append((b"Content-Length", b"%d" % len(outgoing.body_start)))
         else:
@@ -143,7 +144,7 @@
             echoed=self.wire.echoed(outgoing.facts),
             head_only=head.method == b"HEAD",
         )
-        if body.complete:
+        if whole:
             return await self._response(connection)
         return await self._with_body(outgoing, connection, chunked=chunked)
 
--- a/knapweeddock/gateway/catalog.py
+++ b/knapweeddock/gateway/catalog.py
@@ -1,9 +1,12 @@
 """What a gateway reads from and writes into the platform's store."""
 
+import asyncio
+import contextlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
 
+from knapweeddock.errors import HistoryGone, StoreUnavailable
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.ids import FailureDomainId, Revision, VmId
@@ -101,3 +104,94 @@
 
     async def close(self) -> None:  # noqa: B027 - only some catalogs hold connections
         """Release connections."""
+
+
+class MemoryCatalog(Catalog):
+    """A catalog in memory, with switches for the store's faults.
+
+    Attributes:
+        down: Whether every call fails.
+        deaf: Whether watches hear of nothing.
+        calls: Number of calls.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.deaf = False
+        self.calls = 0
+        self._objects: dict[Topic, dict[str, Item]] = {topic: {} for topic in Topic}
+        self._history: list[tuple[int, Topic, Change]] = []
+        self._oldest = 0
+        self._revision = 1
+        self._breaks = 0
+        self._changed = asyncio.Event()
+
+    def put(self, topic: Topic, name: str, item: Item) -> None:
+        """Write an object."""
+        self._objects[topic][name] = item
+        self._record(topic, Change(name=name, item=item))
+
+    def remove(self, topic: Topic, name: str) -> None:
+        """Remove an object."""
+        self._objects[topic].pop(name, None)
+        self._record(topic, Change(name=name, item=None))
+
+    def forget_history(self) -> None:
+        """Drop all changes, so that older revisions cannot be followed."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    def break_watches(self) -> None:
+        """End all waiting calls without an answer."""
+        self._breaks += 1
+        self._notify()
+
+    async def snapshot(self, topic: Topic) -> Snapshot:
+        """Return all objects of ``topic``."""
+        self._admit()
+        return Snapshot(items=dict(self._objects[topic]), revision=Revision(self._revision))
+
+    async def changes(self, topic: Topic, revision: Revision, wait_s: float) -> Changes:
+        """Wait for changes of ``topic`` after ``revision``."""
+        self._admit()
+        breaks = self._breaks
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while self.deaf or not self._since(topic, revision):
+                    await self._changed.wait()
+                    if self.down or self._breaks != breaks:
+                        raise StoreUnavailable("the watch was cut off")
+        if revision < self._oldest:
+            raise HistoryGone(f"history before {self._oldest} is gone")
+        return Changes(changes=self._since(topic, revision), revision=Revision(self._revision))
+
+    async def ping(self) -> None:
+        """Find out whether the store answers."""
+        self._admit()
+
+    async def register(self, entry: GatewayEntry) -> None:
+        """Write the entry of a gateway."""
+        self._admit()
+        self.put(Topic.GATEWAYS, entry.vm, entry)
+
+    async def unregister(self, vm: VmId) -> None:
+        """Remove the entry of a gateway."""
+        self._admit()
+        self.remove(Topic.GATEWAYS, vm)
+
+    def _since(self, topic: Topic, revision: Revision) -> list[Change]:
+        return [change for at, found, change in self._history if at > revision and found is topic]
+
+    def _record(self, topic: Topic, change: Change) -> None:
+        self._revision += 1
+        self._history.append((self._revision, topic, change))
+        self._notify()
+
+    def _admit(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise StoreUnavailable("the store is down")
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -57,7 +57,8 @@
         route: Its route.
         service: Service that runs it.
         deadline: Monotonic time after which nobody waits.
-        tried: Servers that it was sent to.
+        tried: Servers that were tried.
+        arrivals: Attempts that reached a server.
         lost: Whether it may have run although no response came.
         kept: A server's failure that is delivered if no other attempt succeeds.
     """
@@ -68,6 +69,7 @@
     service: ServiceId
     deadline: float
     tried: list[ServerId]
+    arrivals: int = 0
     lost: bool = False
     kept: AttemptResult | None = None
 
@@ -109,7 +111,8 @@
         if route is None:
             self._fail(request, facts, HTTPStatus.NOT_FOUND, ResultCode.UNKNOWN_SERVICE)
             return
-        budget_s = min(facts.budget_s or DEFAULT_BUDGET_S, route.timeout_s)
+        budget_s = DEFAULT_BUDGET_S if facts.budget_s is None else facts.budget_s
+        budget_s = min(budget_s, route.timeout_s)
         run = Run(
             request=request,
             facts=facts,
@@ -165,6 +168,7 @@
             self.placement.sent(wanted, placed, now)
             run.tried.append(placed.server.entry.server)
             result = await self.attempts.run(outgoing, placed, remaining_s=run.deadline - now)
+            run.arrivals += result.end is not AttemptEnd.UNREACHABLE
             self.judgement.judge(run, placed, result, started_at=now)
             if result.end is AttemptEnd.UNREACHABLE:
                 self.attempts.pool.drop(placed.server.entry.server)
@@ -174,7 +178,7 @@
 
     def _goes_on(self, run: Run, outgoing: Outgoing, placed: Placed, result: AttemptResult) -> bool:
         """Decide whether the request is sent to another server."""
-        if not outgoing.repeatable:
+        if not outgoing.has_whole_body:
             return False
         if result.end is AttemptEnd.LOST:
             run.lost = True
--- a/knapweeddock/gateway/judgement.py
+++ b/knapweeddock/gateway/judgement.py
@@ -15,6 +15,9 @@
 if TYPE_CHECKING:
     from knapweeddock.gateway.forward import Run
 
+MAX_UNREACHABLE = 2
+"""Servers that cannot be reached for which others are tried in their place."""
+
 MIN_RETRY_S = 0.02
 """Time in seconds that must be left for another attempt."""
 
@@ -89,12 +92,12 @@
         now = self.now()
         if run.deadline - now < MIN_RETRY_S:
             return False
-        if len(run.tried) >= run.route.max_attempts:
+        if run.arrivals >= run.route.max_attempts:
             return False
         share = self._share(run.service)
         if result.end is AttemptEnd.UNREACHABLE:
             # Nothing arrived at a server, so nothing is repeated.
-            return True
+            return len(run.tried) < run.route.max_attempts + MAX_UNREACHABLE
         if not share.allows(self.gateways(), now):
             return False
         share.record_retry(now)
--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -155,7 +155,7 @@
             return self._refused(ResultCode.NO_SITE)
         if best.wait_s > self._longest_wait(request.route):
             return self._refused(ResultCode.WAIT_TOO_LONG, best)
-        if best.wait_s + self.work.expected_s(request.route, known=True) > request.remaining_s:
+        if best.wait_s + self.work.least_s(request.route) > request.remaining_s:
             return self._refused(ResultCode.WAIT_TOO_LONG, best)
         return best
 
--- a/knapweeddock/gateway/serverpool.py
+++ b/knapweeddock/gateway/serverpool.py
@@ -7,7 +7,7 @@
 from knapweeddock.http1.client import HttpConnection, connect
 from knapweeddock.ids import ServerId
 
-CONNECT_TIMEOUT_S = 0.4
+CONNECT_TIMEOUT_S = 0.25
 """Time for a new connection in seconds; a round trip to another region takes 24 ms."""
 
 IDLE_LIMIT_S = 8.0
--- a/knapweeddock/gateway/worktimes.py
+++ b/knapweeddock/gateway/worktimes.py
@@ -47,6 +47,10 @@
             return found
         return route.target_latency_s * (KNOWN_PART if known else NEW_PART)
 
+    def least_s(self, route: Route) -> float:
+        """Return the work that even a known object takes, 0 before it was seen."""
+        return self._by_route.get((route.route, True), 0.0)
+
     def mean_s(self, service: ServiceId, route: Route) -> float:
         """Return the mean work on all requests of ``service``."""
         return self._by_service.get(service, self.expected_s(route, known=True))
--- a/knapweeddock/http1/server.py
+++ b/knapweeddock/http1/server.py
@@ -294,6 +294,8 @@
                 request.body.discard()
             if self.requests:
                 self.requests[0].answer.take_turn()
+        if self.listener.draining and self.close_if_idle():
+            return
         if not self.requests and not self._reading_head:
             self._arm(self.listener.limits().idle_timeout_s)
         self._regulate()
@@ -381,6 +383,11 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
     def stop_accepting(self) -> None:
         """Refuse new connections."""
         if self._server is not None:
--- /dev/null
+++ b/standins/metastore.py
@@ -0,0 +1,174 @@
+"""Stand-in for the store of the users' platform: objects by kind, revisions, watches."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+from aiohttp import web
+
+PAGE = 50
+"""Objects in one answer to a list."""
+
+
+class StoreFault(Enum):
+    """What is wrong with the store."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    SILENT = "silent"
+    LOSE_ANSWERS = "lose answers"
+
+
+@dataclass(kw_only=True)
+class StoredDocument:
+    """An object with its metadata."""
+
+    name: str
+    spec: Any
+    revision: int
+    created: int
+
+    def encode(self) -> dict[str, Any]:
+        """Return the object as it is sent."""
+        metadata = {
+            "Name": self.name,
+            "Revision": self.revision,
+            "CreateRev": self.created,
+            "Finalizers": [],
+            "Deleting": False,
+        }
+        return {"Metadata": metadata, "Spec": self.spec, "Status": None}
+
+
+@dataclass(kw_only=True)
+class MetaStore:
+    """The objects and the switches for faults.
+
+    Attributes:
+        fault: What is wrong.
+        deaf: Whether watches hear of nothing.
+        calls: Method and path of each call.
+    """
+
+    fault: StoreFault = StoreFault.NONE
+    deaf: bool = False
+    calls: list[tuple[str, str]] = field(default_factory=list)
+    kinds: dict[str, dict[str, StoredDocument]] = field(default_factory=dict)
+    history: list[tuple[int, str, dict[str, Any]]] = field(default_factory=list)
+    revision: int = 1
+    oldest: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, kind: str, name: str, spec: Any) -> StoredDocument:
+        """Write an object."""
+        self.revision += 1
+        before = self.kinds.setdefault(kind, {}).get(name)
+        created = before.created if before else self.revision
+        document = StoredDocument(name=name, spec=spec, revision=self.revision, created=created)
+        self.kinds[kind][name] = document
+        self._record(kind, {"Object": document.encode(), "Deleted": False})
+        return document
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        document = self.kinds.get(kind, {}).pop(name, None)
+        if document is not None:
+            self.revision += 1
+            self._record(kind, {"Object": document.encode(), "Deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, so that older revisions cannot be watched."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    def _record(self, kind: str, event: dict[str, Any]) -> None:
+        self.history.append((self.revision, kind, event))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call."""
+        self.calls.append((request.method, request.path_qs))
+        match self.fault:
+            case StoreFault.BUSY:
+                return web.Response(status=503)
+            case StoreFault.MANY:
+                return web.Response(status=429)
+            case StoreFault.SILENT:
+                await asyncio.Event().wait()
+        answer = await self._answer(request)
+        if self.fault is StoreFault.LOSE_ANSWERS and request.method != "GET":
+            request.transport.abort()
+        return answer
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        name = request.match_info.get("name", "")
+        match request.method:
+            case "GET" if "Watch" in request.query:
+                return await self._watch(kind, request)
+            case "GET" if name:
+                document = self.kinds.get(kind, {}).get(name)
+                return _found(document)
+            case "GET":
+                return self._list(kind, request.query.get("after", ""))
+            case "POST":
+                document = await request.json()
+                name = document["Metadata"]["Name"]
+                if name in self.kinds.get(kind, {}):
+                    return web.json_response(self.kinds[kind][name].encode(), status=409)
+                return web.json_response(self.put(kind, name, document["Spec"]).encode())
+            case "PUT" if name in self.kinds.get(kind, {}):
+                document = await request.json()
+                return web.json_response(self.put(kind, name, document["Spec"]).encode())
+            case "DELETE" if name in self.kinds.get(kind, {}):
+                self.remove(kind, name)
+                return web.json_response({})
+        return web.Response(status=404)
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        names = [name for name in sorted(self.kinds.get(kind, {})) if name > after]
+        page = [self.kinds[kind][name].encode() for name in names[:PAGE]]
+        answer = {"items": page, "HasMore": len(names) > PAGE, "CurrentRev": self.revision}
+        return web.json_response(answer)
+
+    async def _watch(self, kind: str, request: web.Request) -> web.Response:
+        since = int(request.query["Watch"])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(request.query["WaitMs"]) / 1000):
+                while since >= self.oldest and (self.deaf or not self._since(kind, since)):
+                    await self.changed.wait()
+        if since < self.oldest:
+            return web.Response(status=410)
+        answer = {"events": self._since(kind, since), "CurrentRev": self.revision}
+        return web.json_response(answer)
+
+    def _since(self, kind: str, revision: int) -> list[dict[str, Any]]:
+        return [event for at, found, event in self.history if at > revision and found == kind]
+
+
+def _found(document: StoredDocument | None) -> web.Response:
+    if document is None:
+        return web.Response(status=404)
+    return web.json_response(document.encode())
+
+
+@contextlib.asynccontextmanager
+async def running_metastore() -> AsyncIterator[tuple[MetaStore, tuple[str, int]]]:
+    """Run a store within the block and give it with its address."""
+    store = MetaStore()
+    app = web.Application()
+    app.router.add_route("*", "/api/objects/{kind}", store.handle)
+    app.router.add_route("*", "/api/objects/{kind}/{name}", store.handle)
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    try:
+        yield store, runner.addresses[0][:2]
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,81 @@
+"""Builders for the gateway's types in tests."""
+
+import random
+
+from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.placement import Placement, PlacementRequest
+from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
+from knapweeddock.gateway.routes import Route, WeightedService
+from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.worktimes import WorkTimes
+
+SERVICE = "ledger"
+REGION = "north"
+
+
+def route(**changes) -> Route:
+    values = {
+        "route": "r",
+        "host": "h",
+        "path_prefix": "/",
+        "idempotent": True,
+        "target_latency_s": 0.4,
+        "timeout_s": 2.0,
+        "priority": 2,
+        "max_attempts": 2,
+        "affinity": True,
+        "services": (WeightedService(service=SERVICE, weight=1.0),),
+    }
+    return Route(**{**values, **changes})
+
+
+def server(name: str, **changes) -> ServerEntry:
+    values = {
+        "server": name,
+        "service": SERVICE,
+        "address": ("10.0.0.1", 80),
+        "failure_domain": "north-a",
+        "region": REGION,
+        "slots": 3,
+        "phase": ServerPhase.READY,
+    }
+    return ServerEntry(**{**values, **changes})
+
+
+def gateway(vm: str, **changes) -> GatewayEntry:
+    values = {
+        "vm": vm,
+        "incarnation": f"{vm}-1",
+        "failure_domain": "north-a",
+        "region": REGION,
+        "front_address": ("10.0.0.2", 81),
+        "peer_address": ("10.0.0.2", 82),
+    }
+    return GatewayEntry(**{**values, **changes})
+
+
+def fleet_of(*entries: ServerEntry) -> Fleet:
+    fleet = Fleet()
+    fleet.replace_all(entries, 0.0, grace_s=0.0)
+    return fleet
+
+
+def placement_of(fleet: Fleet, *, cold_part: int = 1) -> Placement:
+    return Placement(
+        fleet=fleet,
+        work=WorkTimes(),
+        failure_domain="north-a",
+        region=REGION,
+        cold_part=lambda _: cold_part,
+        shift_limit=ShiftLimit(bound=0.15),
+        rng=random.Random(1),
+    )
+
+
+def wanted(key: str = "17", **changes) -> PlacementRequest:
+    values = {"route": route(), "service": SERVICE, "key": key, "remaining_s": 2.0}
+    return PlacementRequest(**{**values, **changes})
+
+
+def state_of(fleet: Fleet, name: str) -> ServerState:
+    return fleet.servers[name]
--- /dev/null
+++ b/tests/gateway/test_demand.py
@@ -0,0 +1,66 @@
+import pytest
+
+from knapweeddock.gateway.demand import Demand, RequestRate
+from knapweeddock.gateway.worktimes import WorkTimes
+from tests.gateway.support import SERVICE, fleet_of, route, server
+from tests.gateway.test_peers import heartbeat
+
+
+def demand_of(*heartbeats) -> Demand:
+    fleet = fleet_of(server("near"), server("far", region="south", slots=30))
+    work = WorkTimes()
+    work.observe(route(), SERVICE, known=True, work_s=0.2)
+    return Demand(
+        region="north",
+        fleet=fleet,
+        work=work,
+        shift_bound=0.15,
+        heartbeats=lambda: heartbeats,
+    )
+
+
+def arrive(demand: Demand, rate_per_s: float, seconds: float, start: float = 0.0) -> float:
+    for index in range(int(rate_per_s * seconds)):
+        demand.arrived(SERVICE, start + index / rate_per_s)
+    return start + seconds
+
+
+def test_rate_follows_requests():
+    rate = RequestRate()
+    for index in range(200):
+        rate.record(index * 0.05)
+    assert rate.per_s(10.0) == pytest.approx(20.0, rel=0.1)
+    assert rate.per_s(30.0) < 0.1
+
+
+def test_work_is_rate_times_time():
+    demand = demand_of()
+    now = arrive(demand, 20.0, 10.0)
+    assert demand.own_work(now)[SERVICE] == pytest.approx(4.0, rel=0.1)
+
+
+def test_work_of_the_other_gateways_counts():
+    # No gateway sees the whole load of its region.
+    demand = demand_of(heartbeat("two", work={SERVICE: 6.0}))
+    now = arrive(demand, 2.0, 2.0)
+    for _ in range(400):
+        now += 0.1
+        demand.arrived(SERVICE, now)
+        demand.plan(now)
+    assert demand.spills[SERVICE].current["south"] > 0.5
+
+
+def test_gateway_that_starts_joins_the_shares_of_its_region():
+    demand = demand_of(
+        heartbeat("two", shares={SERVICE: {"north": 0.5, "south": 0.5}}),
+        heartbeat("far", region="south", shares={SERVICE: {"south": 1.0}}),
+    )
+    now = arrive(demand, 2.0, 2.0)
+    demand.plan(now)
+    assert demand.shares()[SERVICE] == {"north": 0.5, "south": 0.5}
+
+
+def test_nothing_is_planned_before_there_is_traffic():
+    demand = demand_of()
+    demand.plan(0.0)
+    assert demand.shares() == {}
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,134 @@
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+
+from knapweeddock.gateway import following
+from knapweeddock.gateway.catalog import MemoryCatalog, Topic
+from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.following import StoreFollower
+from knapweeddock.gateway.routes import RoutingConfig
+from knapweeddock.gateway.view import View
+from tests.gateway.support import server
+from tests.waiting import until
+
+
+class Setup:
+    """A follower of an in-memory catalog."""
+
+    def __init__(self) -> None:
+        self.catalog = MemoryCatalog()
+        self.catalog.put(Topic.CONFIGURATION, "main", RoutingConfig(version=1))
+        self.catalog.put(Topic.SERVERS, "a", server("a"))
+        self.view = View(fleet=Fleet())
+        self.follower = StoreFollower(
+            catalog=self.catalog,
+            view=self.view,
+            silence_s=0.1,
+            lapse_s=0.3,
+            history_s=20.0,
+            rng=random.Random(1),
+        )
+
+    def set_config(self, version: int) -> None:
+        self.catalog.put(Topic.CONFIGURATION, "main", RoutingConfig(version=version))
+
+    def version(self) -> int:
+        return self.view.config.version if self.view.config else 0
+
+
+@contextlib.asynccontextmanager
+async def followed(monkeypatch) -> AsyncIterator[Setup]:
+    monkeypatch.setattr(following, "BATCH_S", dict.fromkeys(Topic, 0.0))
+    setup = Setup()
+    task = asyncio.create_task(setup.follower.run())
+    try:
+        await until(lambda: setup.view.is_complete)
+        yield setup
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_changes_come_into_force(monkeypatch):
+    async with followed(monkeypatch) as setup:
+        setup.set_config(2)
+        await until(lambda: setup.version() == 2)
+        setup.catalog.remove(Topic.SERVERS, "a")
+        await until(lambda: not setup.view.fleet.servers)
+
+
+async def test_older_version_is_ignored(monkeypatch):
+    async with followed(monkeypatch) as setup:
+        setup.set_config(5)
+        await until(lambda: setup.version() == 5)
+        setup.set_config(3)
+        setup.catalog.remove(Topic.SERVERS, "a")
+        await until(lambda: not setup.view.fleet.servers)
+        assert setup.version() == 5
+
+
+async def test_change_during_lost_history_comes_into_force_everywhere(monkeypatch):
+    # The store hears changes that watches do not, drops its history, and cuts only
+    # some watches; a topic whose watch waits on must be read again too.
+    async with followed(monkeypatch) as setup:
+        await asyncio.sleep(0.02)
+        setup.catalog.deaf = True
+        setup.set_config(2)
+        setup.catalog.put(Topic.EVACUATIONS, "north-b", "north-b")
+        setup.catalog.forget_history()
+        setup.catalog.break_watches()
+        await until(lambda: setup.version() == 2)
+        await until(lambda: setup.view.fleet.evacuated == {"north-b"})
+
+
+async def test_outage_keeps_the_last_state_and_ends(monkeypatch):
+    async with followed(monkeypatch) as setup:
+        setup.catalog.down = True
+        setup.catalog.break_watches()
+        await until(lambda: not setup.follower.connected)
+        assert setup.version() == 1
+        setup.set_config(2)
+        setup.catalog.down = False
+        await until(lambda: setup.follower.connected)
+        await until(lambda: setup.version() == 2)
+
+
+async def test_server_that_lapsed_in_an_outage_is_kept_for_the_grace(monkeypatch):
+    async with followed(monkeypatch) as setup:
+        setup.catalog.down = True
+        setup.catalog.break_watches()
+        await until(lambda: not setup.follower.connected)
+        setup.catalog.remove(Topic.SERVERS, "a")
+        setup.catalog.down = False
+        await until(lambda: setup.follower.connected)
+        await until(lambda: setup.view.fleet.servers["a"].lapses_at is not None)
+        setup.view.fleet.expire(setup.view.fleet.servers["a"].lapses_at + 0.001)
+        assert not setup.view.fleet.servers
+
+
+async def test_late_failure_of_an_old_call_is_no_new_outage():
+    # After a cut several calls that had waited fail one after the other; each would
+    # prolong the time in which a server that has left still gets requests.
+    follower = Setup().follower
+    follower._failed("first", 0.0)
+    assert not follower.connected
+    follower._answered()
+    returned_at = follower.returned_at
+    follower._failed("second", returned_at - 0.5)
+    assert follower.connected
+    follower._answered()
+    assert follower.returned_at == returned_at
+
+
+async def test_silent_watch_is_given_up_when_the_ping_fails(monkeypatch):
+    # A watch on a connection that has gone silent would wait to its end.
+    async with followed(monkeypatch) as setup:
+        await asyncio.sleep(0.02)
+        setup.catalog.deaf = True
+        setup.set_config(2)
+        setup.catalog.down = True
+        await until(lambda: not setup.follower.connected)
+        setup.catalog.down = False
+        setup.catalog.deaf = False
+        await until(lambda: setup.version() == 2)
--- /dev/null
+++ b/tests/gateway/test_lookups.py
@@ -0,0 +1,47 @@
+import random
+
+from knapweeddock.gateway.lookups import MAX_NAMED, choose
+from knapweeddock.gateway.peers import GatewayPhase
+from tests.gateway.support import gateway
+from tests.gateway.test_peers import heartbeat
+
+
+def named(gateways, heartbeats, region: str = "north", domain: str = "north-a") -> list[str]:
+    found = choose(
+        region=region,
+        failure_domain=domain,
+        gateways={entry.vm: entry for entry in gateways},
+        heartbeats=heartbeats,
+        rng=random.Random(1),
+    )
+    return [entry.vm for entry in found]
+
+
+def test_serving_gateways_of_the_clients_region_are_named():
+    gateways = [gateway("a"), gateway("b", failure_domain="north-b"), gateway("c", region="south")]
+    assert named(gateways, [heartbeat(vm) for vm in "abc"]) == ["a", "b"]
+
+
+def test_gateway_that_leaves_or_starts_is_not_named():
+    gateways = [gateway("a"), gateway("b"), gateway("c")]
+    heartbeats = [
+        heartbeat("a"),
+        heartbeat("b", phase=GatewayPhase.LEAVING),
+        heartbeat("c", phase=GatewayPhase.STARTING),
+    ]
+    assert named(gateways, heartbeats) == ["a"]
+
+
+def test_earlier_start_of_a_gateway_is_not_named():
+    gateways = [gateway("a"), gateway("b", incarnation="second")]
+    assert named(gateways, [heartbeat("a"), heartbeat("b", incarnation="first")]) == ["a"]
+
+
+def test_other_regions_are_named_when_the_clients_has_none():
+    gateways = [gateway("c", region="south")]
+    assert named(gateways, [heartbeat("c", region="south")]) == ["c"]
+
+
+def test_large_regions_are_named_in_part():
+    gateways = [gateway(f"g{index}") for index in range(200)]
+    assert len(named(gateways, [heartbeat(entry.vm) for entry in gateways])) == MAX_NAMED
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,66 @@
+from knapweeddock.gateway.peers import (
+    FAR_RECEIVERS,
+    NEAR_RECEIVERS,
+    SILENT_S,
+    GatewayPhase,
+    Heard,
+    Heartbeat,
+    Peers,
+    heartbeat_port,
+    receivers,
+)
+from tests.gateway.support import gateway
+from tests.waiting import until
+
+
+def heartbeat(vm: str, **changes) -> Heartbeat:
+    values = {
+        "vm": vm,
+        "incarnation": f"{vm}-1",
+        "phase": GatewayPhase.SERVING,
+        "region": "north",
+        "work": {"ledger": 1.5},
+        "shares": {},
+    }
+    return Heartbeat(**{**values, **changes})
+
+
+def peers_of(vm: str, *entries) -> Peers:
+    return Peers(vm=vm, region="north", gateways=lambda: entries, own=lambda: heartbeat(vm))
+
+
+async def test_heartbeats_arrive():
+    second = peers_of("two")
+    async with heartbeat_port(second, ("127.0.0.1", 0)):
+        address = second.transport.get_extra_info("sockname")
+        first = peers_of("one", gateway("two", peer_address=address))
+        async with heartbeat_port(first, ("127.0.0.1", 0)):
+            first.send()
+            await until(lambda: second.heard)
+    assert second.heard["one"].heartbeat == heartbeat("one")
+
+
+async def test_datagram_of_somebody_else_is_ignored():
+    peers = peers_of("one")
+    peers.datagram_received(b"\xc1 nonsense", ("127.0.0.1", 9))
+    assert peers.heard == {}
+
+
+def test_silent_gateway_is_not_alive():
+    peers = peers_of("one")
+    peers.heard["two"] = Heard(heartbeat=heartbeat("two"), at=0.0)
+    assert len(peers.alive(SILENT_S)) == 1
+    assert peers.alive(SILENT_S + 0.1) == []
+
+
+def test_number_of_receivers_does_not_grow_with_the_fleet():
+    near = [gateway(f"n{index}") for index in range(500)]
+    far = [gateway(f"f{index}", region="south") for index in range(500)]
+    found = receivers("n0", "north", near + far)
+    assert len(found) == NEAR_RECEIVERS + FAR_RECEIVERS
+    assert all(entry.vm != "n0" for entry in found)
+
+
+def test_small_fleet_hears_everybody():
+    entries = [gateway(f"n{index}") for index in range(6)]
+    assert len(receivers("n0", "north", entries)) == 5
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,202 @@
+import heapq
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.gateway.placement import Placed, Refused
+from knapweeddock.gateway.spill import SpillShares
+from tests.gateway.support import (
+    SERVICE,
+    fleet_of,
+    placement_of,
+    route,
+    server,
+    state_of,
+    wanted,
+)
+
+
+def servers(count: int, **changes) -> list:
+    return [server(f"s{index}", **changes) for index in range(count)]
+
+
+def chosen(placement, request, now: float = 0.0) -> str:
+    placed = placement.choose(request, now)
+    assert isinstance(placed, Placed)
+    return placed.server.entry.server
+
+
+def test_all_gateways_choose_the_same_server_for_an_object():
+    keys = [str(index) for index in range(20)]
+    first = placement_of(fleet_of(*servers(8)))
+    second = placement_of(fleet_of(*reversed(servers(8))))
+    assert [chosen(first, wanted(key)) for key in keys] == [
+        chosen(second, wanted(key)) for key in keys
+    ]
+
+
+def test_other_objects_stay_where_they_are_when_a_server_leaves():
+    keys = [str(index) for index in range(40)]
+    fleet = fleet_of(*servers(8))
+    placement = placement_of(fleet)
+    before = {key: chosen(placement, wanted(key)) for key in keys}
+    fleet.remove("s3", 1.0, grace_s=0.0)
+    for key, name in before.items():
+        if name != "s3":
+            assert chosen(placement, wanted(key)) == name
+
+
+def test_server_that_was_tried_is_not_chosen_again():
+    placement = placement_of(fleet_of(*servers(3)))
+    first = chosen(placement, wanted())
+    assert chosen(placement, wanted(tried=[first])) != first
+
+
+def test_no_server_is_refused_at_once():
+    placement = placement_of(fleet_of())
+    refused = placement.choose(wanted(), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.code is ResultCode.NO_SITE
+    assert refused.retry_after_s > 0
+
+
+def test_route_runs_in_its_regions_only():
+    fleet = fleet_of(server("near"), server("far", region="south", failure_domain="south-a"))
+    placement = placement_of(fleet)
+    request = wanted(route=route(regions=frozenset({"south"})))
+    assert chosen(placement, request) == "far"
+    fleet.remove("far", 1.0, grace_s=0.0)
+    assert isinstance(placement.choose(request, 1.0), Refused)
+
+
+def test_objects_of_the_spilled_share_run_elsewhere():
+    fleet = fleet_of(server("near"), server("far", region="south", failure_domain="south-a"))
+    placement = placement_of(fleet)
+    spill = SpillShares(origin="north", rate_per_s=0.04, first={}, first_step=0.0)
+    spill.current = {"north": 0.5, "south": 0.5}
+    placement.spills[SERVICE] = spill
+    found = {chosen(placement, wanted(str(index))) for index in range(30)}
+    assert found == {"near", "far"}
+
+
+def test_cold_server_gets_its_part_and_the_rest_goes_on():
+    fleet = fleet_of(*servers(2))
+    placement = placement_of(fleet, cold_part=1)
+    request = wanted()
+    first = placement.choose(request, 0.0)
+    first.server.cold_until = 100.0
+    placement.sent(request, first, 0.0)
+    assert chosen(placement, request, 0.1) != first.server.entry.server
+    assert chosen(placement, request, 1.5) == first.server.entry.server
+
+
+def test_unreachable_server_is_passed_over():
+    fleet = fleet_of(*servers(3))
+    placement = placement_of(fleet)
+    name = chosen(placement, wanted())
+    state_of(fleet, name).standing.unreachable(0.0)
+    assert chosen(placement, wanted()) != name
+
+
+def test_request_that_cannot_end_in_time_is_refused_at_once():
+    fleet = fleet_of(server("only"))
+    state_of(fleet, "only").load.own = 12
+    refused = placement_of(fleet).choose(wanted(), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.code is ResultCode.WAIT_TOO_LONG
+
+
+def test_urgent_request_is_accepted_where_another_is_refused():
+    fleet = fleet_of(server("only"))
+    state_of(fleet, "only").load.own = 6
+    placement = placement_of(fleet)
+    assert isinstance(placement.choose(wanted(route=route(priority=2)), 0.0), Refused)
+    assert isinstance(placement.choose(wanted(route=route(priority=1)), 0.0), Placed)
+
+
+def test_busy_home_gives_way_to_the_second_one():
+    fleet = fleet_of(*servers(6))
+    placement = placement_of(fleet)
+    first = chosen(placement, wanted())
+    state_of(fleet, first).load.own = 7
+    assert chosen(placement, wanted()) != first
+
+
+class Overload:
+    """Replays a load that exceeds the slots for a while against servers with memory.
+
+    Work on an object among the last ``KEPT`` of a server takes ``WARM_S``, on another
+    one ``COLD_S``. A server runs three requests at a time, in the order of arrival.
+    """
+
+    WARM_S = 0.108
+    COLD_S = 0.36
+    KEPT = 31
+    OBJECTS = 85
+    SERVERS = 4
+
+    def __init__(self) -> None:
+        self.fleet = fleet_of(*servers(self.SERVERS))
+        self.placement = placement_of(self.fleet)
+        self.free = {f"s{index}": [0.0] * 3 for index in range(self.SERVERS)}
+        self.memory: dict[str, list[str]] = {name: [] for name in self.free}
+        self.running: list[tuple[float, str, float, Placed]] = []
+
+    def serve(self, name: str, key: str, now: float) -> float:
+        """Return when the server has finished."""
+        memory = self.memory[name]
+        known = key in memory
+        if known:
+            memory.remove(key)
+        memory.append(key)
+        del memory[: -self.KEPT]
+        started = max(now, heapq.heappop(self.free[name]))
+        ended = started + (self.WARM_S if known else self.COLD_S)
+        heapq.heappush(self.free[name], ended)
+        return ended
+
+    def finish(self, now: float) -> None:
+        """Take in the responses up to ``now``."""
+        while self.running and self.running[0][0] <= now:
+            ended, _, started, placed = heapq.heappop(self.running)
+            state = placed.server
+            state.load.own -= 1
+            if placed.certain:
+                work_s = max(0.01, ended - started - placed.wait_s)
+                self.placement.work.observe(route(), SERVICE, known=placed.known, work_s=work_s)
+
+    def play(self, rate_per_s: float, seconds: float, start: float) -> tuple[int, int]:
+        """Return how many requests came and how many ended within 0.25 s."""
+        count = int(rate_per_s * seconds)
+        in_time = 0
+        for index in range(count):
+            now = start + index / rate_per_s
+            self.finish(now)
+            key = str((index * 37) % self.OBJECTS)
+            request = wanted(key, route=route(target_latency_s=0.25))
+            placed = self.placement.choose(request, now)
+            if isinstance(placed, Refused):
+                continue
+            self.placement.sent(request, placed, now)
+            placed.server.load.own += 1
+            ended = self.serve(placed.server.entry.server, key, now)
+            heapq.heappush(self.running, (ended, key + str(index), now, placed))
+            in_time += ended - now <= 0.25
+        return count, in_time
+
+
+def test_overload_does_not_outlive_its_burst():
+    # A burst on top of a peak: when gateways spread objects over more servers than
+    # have room for them, each request becomes dearer and the overload goes on.
+    load = Overload()
+    load.play(60.0, 10.0, 0.0)
+    load.play(200.0, 4.0, 10.0)
+    load.play(60.0, 4.0, 14.0)
+    count, in_time = load.play(60.0, 6.0, 18.0)
+    assert in_time >= 0.95 * count
+
+
+def test_overload_serves_as_much_in_time_as_the_servers_can():
+    load = Overload()
+    load.play(60.0, 10.0, 0.0)
+    _, in_time = load.play(200.0, 6.0, 10.0)
+    capacity = load.SERVERS * 3 / load.WARM_S * 6.0
+    assert in_time >= 0.7 * capacity
--- /dev/null
+++ b/tests/gateway/test_spill.py
@@ -0,0 +1,95 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from knapweeddock.gateway.spill import TARGET_LOAD, SpillShares, divide
+
+REGIONS = ["east", "north", "south"]
+
+
+def test_region_with_enough_servers_keeps_its_requests():
+    shares = divide("north", {"north": 3.0, "south": 3.0}, {"north": 12, "south": 12})
+    assert shares == {"north": 1.0}
+
+
+def test_excess_goes_where_there_is_room():
+    # The daily peak of a region with few servers; the others are nearly idle.
+    slots = {"north": 12, "south": 48, "east": 36}
+    shares = divide("north", {"north": 12.0, "south": 5.0, "east": 5.0}, slots)
+    assert shares["north"] == pytest.approx(TARGET_LOAD * 12 / 12.0)
+    assert shares["south"] > shares["east"] > 0
+    assert sum(shares.values()) == pytest.approx(1.0)
+
+
+def test_region_without_servers_sends_everything_away():
+    shares = divide("north", {"north": 5.0}, {"south": 12})
+    assert shares == {"south": 1.0}
+
+
+def test_nothing_known_keeps_requests_at_home():
+    assert divide("north", {}, {}) == {"north": 1.0}
+
+
+@given(
+    work=st.dictionaries(st.sampled_from(REGIONS), st.floats(0, 200)),
+    slots=st.dictionaries(st.sampled_from(REGIONS), st.integers(1, 100)),
+)
+def test_all_regions_are_loaded_alike_when_slots_are_short(work, slots):
+    load = {region: 0.0 for region in REGIONS}
+    for origin, amount in work.items():
+        shares = divide(origin, work, slots)
+        assert sum(shares.values()) == pytest.approx(1.0)
+        for region, share in shares.items():
+            load[region] += share * amount
+    if slots:
+        bound = max(TARGET_LOAD, sum(work.values()) / sum(slots.values()))
+        for region, count in slots.items():
+            assert load[region] <= bound * count + 1e-6
+
+
+def spill(**changes) -> SpillShares:
+    values = {"origin": "north", "rate_per_s": 0.04, "first": {}, "first_step": 0.05}
+    return SpillShares(**{**values, **changes})
+
+
+def moved(before: dict[str, float], after: dict[str, float]) -> float:
+    return sum(abs(after.get(r, 0.0) - before.get(r, 0.0)) for r in REGIONS) / 2
+
+
+def test_shares_follow_a_sudden_goal_at_a_bounded_rate():
+    # A burst wants half of the requests elsewhere from one moment to the next.
+    shares = spill()
+    goal = {"north": 0.5, "south": 0.5}
+    shares.follow(goal, 0.0)
+    assert moved({"north": 1.0}, shares.current) == pytest.approx(0.05)
+    before = dict(shares.current)
+    for tick in range(1, 9):
+        shares.follow(goal, tick * 0.25)
+    assert moved(before, shares.current) == pytest.approx(0.08)
+    for tick in range(9, 100):
+        shares.follow(goal, tick * 0.25)
+    assert shares.current == pytest.approx(goal)
+
+
+def test_gateway_that_starts_takes_over_the_shares_of_others():
+    shares = spill(first={"north": 0.6, "south": 0.4})
+    shares.follow({"north": 1.0}, 0.0)
+    assert shares.current == {"north": 0.6, "south": 0.4}
+
+
+def test_long_pause_does_not_allow_a_jump():
+    shares = spill()
+    shares.follow({"north": 1.0}, 0.0)
+    shares.follow({"south": 1.0}, 60.0)
+    assert shares.current["south"] <= 0.04
+
+
+def test_objects_leave_one_by_one_and_the_same_ones_return():
+    positions = [index / 50 for index in range(50)]
+    shares = spill()
+    shares.current = {"north": 0.6, "south": 0.4}
+    away = {position for position in positions if shares.region_at(position) == "south"}
+    shares.current = {"north": 0.8, "south": 0.2}
+    still_away = {position for position in positions if shares.region_at(position) == "south"}
+    assert still_away < away
+    assert len(away) == 20
--- /dev/null
+++ b/tests/gateway/test_standing.py
@@ -0,0 +1,43 @@
+import pytest
+
+from knapweeddock.gateway.standing import BACKOFF_MAX_S, FORGET_S, Standing
+
+
+def test_unreachable_server_is_left_alone_until_a_probe_answers():
+    standing = Standing()
+    standing.unreachable(0.0)
+    assert not standing.is_usable()
+    assert not standing.is_probe_due(0.1)
+    assert standing.is_probe_due(0.6)
+    standing.verified()
+    assert standing.is_usable()
+
+
+def test_probes_become_rarer_up_to_a_bound():
+    standing = Standing()
+    for _ in range(10):
+        standing.unreachable(0.0)
+    assert standing.unreachable_until == BACKOFF_MAX_S
+
+
+def test_failures_raise_the_share_and_are_forgotten():
+    standing = Standing()
+    for _ in range(10):
+        standing.responded(failed=True, slowness=None, now=0.0)
+    assert standing.failures(0.0) > 0.8
+    assert standing.failures(3 * FORGET_S) < 0.1
+
+
+def test_slow_server_is_known_as_slow_and_tried_again_later():
+    standing = Standing()
+    for _ in range(10):
+        standing.responded(failed=False, slowness=5.0, now=0.0)
+    assert standing.slowness(0.0) > 4.0
+    assert standing.slowness(5 * FORGET_S) == pytest.approx(1.0, abs=0.1)
+
+
+def test_broken_connection_counts_as_failure_without_blocking_the_server():
+    standing = Standing()
+    standing.lost(0.0)
+    assert standing.failures(0.0) > 0
+    assert standing.is_usable()
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,40 @@
+import pytest
+
+from knapweeddock.errors import ConfigError
+from knapweeddock.platform.settings import load
+from tests.platform.documents import settings_text
+
+
+def test_settings(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(settings_text())
+    settings = load(path)
+    assert settings.vm == "front-north-a-1"
+    assert settings.region == "north"
+    assert settings.front == ("127.0.0.1", 8161)
+    assert settings.peer == ("127.0.0.1", 7720)
+    assert settings.store.address == ("10.200.1.7", 8169)
+    assert settings.bounds.stop_limit_s == 6.0
+    assert settings.bounds.retry_slack == 62
+    assert settings.bounds.region_shift == 0.15
+
+
+@pytest.mark.parametrize("broken", ["NodeName =", "NodeName = 3\n", ""])
+def test_broken_settings_are_refused(tmp_path, broken):
+    path = tmp_path / "boot.toml"
+    path.write_text(broken)
+    with pytest.raises(ConfigError):
+        load(path)
+
+
+def test_settings_cut_short_are_refused(tmp_path):
+    # The platform replaces the file while the process may read it.
+    path = tmp_path / "boot.toml"
+    path.write_text(settings_text()[:300])
+    with pytest.raises(ConfigError):
+        load(path)
+
+
+def test_missing_settings_are_refused(tmp_path):
+    with pytest.raises(ConfigError):
+        load(tmp_path / "none.toml")
--- /dev/null
+++ b/tests/platform/test_values.py
@@ -0,0 +1,44 @@
+import pytest
+
+from knapweeddock.platform.values import DocumentError, address, field, number, rows, seconds
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0), ("20s", 20.0)]
+)
+def test_durations(text, expected):
+    assert seconds(text) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize("text", ["", "s", "5", "5m", "-1s", "1.2.3s", "nans", 5, None, True])
+def test_malformed_durations_are_refused(text):
+    with pytest.raises(DocumentError):
+        seconds(text)
+
+
+@pytest.mark.parametrize("text", ["", "host", "host:", ":80", "h:0", "h:70000", "h:x", 80, None])
+def test_malformed_addresses_are_refused(text):
+    with pytest.raises(DocumentError):
+        address(text)
+
+
+def test_address():
+    assert address("10.0.0.1:80") == ("10.0.0.1", 80)
+
+
+def test_truth_values_are_no_numbers():
+    with pytest.raises(DocumentError):
+        field({"Slots": True}, "Slots", int)
+    with pytest.raises(DocumentError):
+        number({"Weight": True}, "Weight", 1.0)
+
+
+def test_rows_leave_out_what_is_null():
+    table = {"Columns": ["a", "b"], "Rows": [[1, None], [2, 3]]}
+    assert rows(table) == [{"a": 1}, {"a": 2, "b": 3}]
+
+
+@pytest.mark.parametrize("table", [None, [], {"Columns": ["a"], "Rows": [[1, 2]]}, {"Rows": []}])
+def test_malformed_tables_are_refused(table):
+    with pytest.raises(DocumentError):
+        rows(table)
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,101 @@
+import msgspec
+
+from knapweeddock.gateway.wire import RequestFacts
+from knapweeddock.http1.messages import RequestHead, ResponseHead
+from knapweeddock.platform.wire import PlatformWire
+
+WIRE = PlatformWire()
+
+
+def request(*headers: tuple[bytes, bytes], target: bytes = b"/") -> RequestHead:
+    return RequestHead(method=b"GET", target=target, headers=headers)
+
+
+def response(*headers: tuple[bytes, bytes], status: int = 200) -> ResponseHead:
+    return ResponseHead(status=status, headers=headers)
+
+
+def test_request_facts():
+    facts = WIRE.request_facts(
+        request(
+            (b"Request-Id", b"9c41"),
+            (b"Deadline-Ms", b"2000"),
+            (b"Cookie", b"other=1; Affinity-Key=17"),
+        )
+    )
+    assert facts == RequestFacts(request_id="9c41", budget_s=2.0, object_key="17")
+
+
+def test_malformed_budget_counts_as_none():
+    for value in (b"", b"-5", b"soon", b"1" * 30):
+        assert WIRE.request_facts(request((b"Deadline-Ms", value))).budget_s is None
+
+
+def test_server_request_names_the_server_and_the_time_left():
+    headers = WIRE.server_request(
+        request(
+            (b"Host", b"h"),
+            (b"Request-Id", b"9c41"),
+            (b"Deadline-Ms", b"2000"),
+            (b"Expected-Instance", b"forged"),
+            (b"Connection", b"keep-alive"),
+        ),
+        server="i-1",
+        remaining_s=1.5,
+    )
+    assert headers == [
+        (b"Host", b"h"),
+        (b"Request-Id", b"9c41"),
+        (b"Deadline-Ms", b"1500"),
+        (b"Expected-Instance", b"i-1"),
+    ]
+
+
+def test_response_facts():
+    facts = WIRE.response_facts(
+        response(
+            (b"Server-Load", b"3,1,8"),
+            (b"Response-Signature", b"s"),
+            (b"Instance-Id", b"i-1"),
+            (b"Warmup-Ms", b"1200"),
+        )
+    )
+    assert facts.signed and not facts.not_run
+    assert (facts.load.running, facts.load.waiting) == (3, 1)
+    assert facts.server == "i-1"
+    assert facts.warmup_left_s == 1.2
+
+
+def test_only_the_header_says_that_a_request_did_not_run():
+    assert WIRE.response_facts(response((b"Not-Executed", b"1"), status=503)).not_run
+    assert not WIRE.response_facts(response(status=503)).not_run
+
+
+def test_malformed_load_is_ignored():
+    for value in (b"", b"3", b"a,b,c", b"-1,2,3"):
+        assert WIRE.response_facts(response((b"Server-Load", value))).load is None
+
+
+def test_client_gets_no_headers_for_the_gateway():
+    headers = WIRE.client_response(
+        response((b"Server-Load", b"1,0,3"), (b"Response-Signature", b"s"), (b"X", b"y"))
+    )
+    assert headers == [(b"Response-Signature", b"s"), (b"X", b"y")]
+
+
+def test_refusal_tells_when_to_come_back():
+    headers = WIRE.refusal(RequestFacts(request_id="9c41"), retry_after_s=0.25)
+    assert headers == [(b"Request-Id", b"9c41"), (b"Retry-After", b"0.250")]
+
+
+def test_lookup():
+    query = WIRE.lookup_query(request(target=b"/api/resolve?Name=h&Region=north&Zone=north-a"))
+    assert (query.host, query.region, query.failure_domain) == ("h", "north", "north-a")
+    assert WIRE.lookup_query(request(target=b"/other")) is None
+    answer = msgspec.json.decode(WIRE.lookup_answer([("10.0.0.1", 81)], lifetime_s=2.0))
+    assert answer == {"Addresses": ["10.0.0.1:81"], "Ttl": "2000ms"}
+
+
+def test_ready_check():
+    assert WIRE.is_ready_check(request(target=b"/api/ready"))
+    assert not WIRE.is_ready_check(request(target=b"/api/other"))
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,171 @@
+"""A gateway between a stand-in store and stand-in servers, in one process."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from knapweeddock.gateway.service import Gateway
+from knapweeddock.platform.settings import load
+from knapweeddock.platform.store import StoreCatalog, StoreClient
+from knapweeddock.platform.wire import PlatformWire
+from standins.metastore import MetaStore, running_metastore
+from standins.platformserver import PlatformServer, running_server
+from tests.http1.scripted import read_head
+from tests.platform import documents
+from tests.waiting import until
+
+
+@dataclass(kw_only=True)
+class Reply:
+    """A response as the client received it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(kw_only=True)
+class World:
+    """The parts of a small deployment."""
+
+    store: MetaStore
+    gateway: Gateway
+    stop: asyncio.Event
+    running: asyncio.Task[None]
+    servers: dict[str, PlatformServer] = field(default_factory=dict)
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+    def ran(self) -> list[str]:
+        """Return the identifiers of all requests that servers ran."""
+        return [each for server in self.servers.values() for each in server.ran]
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        key: str = "17",
+        budget_ms: int = 2000,
+        request_id: str = "q1",
+        body: bytes = b"",
+        host: str = "ring.example",
+    ) -> Reply:
+        """Send a request on a connection of its own."""
+        reader, writer = await self.connect()
+        writer.write(
+            request_bytes(
+                path,
+                method=method,
+                key=key,
+                budget_ms=budget_ms,
+                request_id=request_id,
+                body=body,
+                host=host,
+            )
+        )
+        try:
+            return await read_reply(reader)
+        finally:
+            writer.close()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to the gateway's front port."""
+        return await asyncio.open_connection(*self.gateway.settings.front)
+
+    async def get(self, address: tuple[str, int], target: str) -> Reply:
+        """Send a plain request to one of the gateway's ports."""
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        try:
+            return await read_reply(reader)
+        finally:
+            writer.close()
+
+
+def request_bytes(
+    path: str,
+    *,
+    method: str = "GET",
+    key: str = "17",
+    budget_ms: int = 2000,
+    request_id: str = "q1",
+    body: bytes = b"",
+    host: str = "ring.example",
+) -> bytes:
+    """Return a client's request."""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {request_id}\r\n"
+        f"Cookie: Affinity-Key={key}\r\nDeadline-Ms: {budget_ms}\r\n"
+    )
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+async def read_reply(reader: asyncio.StreamReader) -> Reply:
+    """Read one response with a length."""
+    head = (await read_head(reader)).decode()
+    status_line, *lines = head.strip().split("\r\n")
+    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines)}
+    length = int(headers.get("content-length", "0"))
+    body = await reader.readexactly(length)
+    return Reply(status=int(status_line.split()[1]), headers=headers, body=body)
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def running_world(
+    path: Path, *, servers: int = 2, configured: bool = True, grace: str = "6s"
+) -> AsyncIterator[World]:
+    """Run a gateway with ``servers`` servers within the block."""
+    async with contextlib.AsyncExitStack() as stack:
+        store, store_address = await stack.enter_async_context(running_metastore())
+        if configured:
+            store.put("config", "main", documents.config())
+        found = {}
+        addresses = {}
+        for index in range(servers):
+            name = f"i-{index}"
+            found[name], addresses[name] = await stack.enter_async_context(running_server(name))
+            entry = found[name].entry(addresses[name], "north-a", "ledger")
+            store.put("servers", name, entry)
+        text = documents.settings_text(
+            peer=free_port(),
+            front=free_port(),
+            ready=free_port(),
+            lookup=free_port(),
+            grace=grace,
+            store=f"{store_address[0]}:{store_address[1]}",
+        )
+        world = _start(path, text, store)
+        world.servers = found
+        world.addresses = addresses
+        try:
+            await until(lambda: world.gateway.front.is_listening or world.running.done())
+            if configured:
+                await until(lambda: world.gateway.phase.value == "serving")
+            yield world
+        finally:
+            world.running.cancel()
+            await asyncio.gather(world.running, return_exceptions=True)
+
+
+def _start(path: Path, text: str, store: MetaStore) -> World:
+    path.write_text(text)
+    settings = load(path)
+    catalog = StoreCatalog(
+        client=StoreClient(address=settings.store.address), regions=settings.regions
+    )
+    gateway = Gateway(settings=settings, catalog=catalog, wire=PlatformWire())
+    stop = asyncio.Event()
+    running = asyncio.create_task(gateway.run(stop))
+    return World(store=store, gateway=gateway, stop=stop, running=running)
