Serve metrics of the gateway and log what each decision follows from

Requests are counted by route, outcome and reason, with histograms of their time; the state of the store, the servers and the retry budget are gauges. Log lines about requests are bounded per second and those left out are counted; a full pipe drops lines instead of blocking the loop. The aiohttp handler of the other processes' metrics is a module of its own, so that the gateway does not load it.

--- a/knapweeddock/agent/metrics.py
+++ b/knapweeddock/agent/metrics.py
@@ -4,6 +4,7 @@
 
 from knapweeddock.agent.core import AgentCore
 from knapweeddock.metrics import ProcessMetrics
+from knapweeddock.metricsweb import MetricsHandler
 from knapweeddock.settings import AgentSettings
 
 
@@ -38,7 +39,7 @@
         """Serve ``/metrics``."""
         self.update(core)
         app = web.Application()
-        app.router.add_get("/metrics", self.process.handle)
+        app.router.add_get("/metrics", MetricsHandler(metrics=self.process).handle)
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, self.listen.host, self.listen.metrics).start()
--- a/knapweeddock/entry/service.py
+++ b/knapweeddock/entry/service.py
@@ -25,6 +25,7 @@
 from knapweeddock.handover import TAKEOVER_DELAY_S
 from knapweeddock.idempotency import KeyTable
 from knapweeddock.ids import Incarnation, new_id
+from knapweeddock.metricsweb import MetricsHandler
 from knapweeddock.model import DEFAULT_LOOKUP_LIFETIME_MS
 from knapweeddock.settings import EntrySettings
 from knapweeddock.slotcapacity import SlotCapacity
@@ -194,7 +195,7 @@
         handlers = {
             self.ports.public: self.handling.public,
             self.ports.internal: self.handling.internal,
-            self.ports.metrics: self.metrics.process.handle,
+            self.ports.metrics: MetricsHandler(metrics=self.metrics.process).handle,
         }
         servers = [
             HttpServer(port=port, handler=handler, header_limit=limits.header_limit)
--- a/knapweeddock/gateway/catalog.py
+++ b/knapweeddock/gateway/catalog.py
@@ -66,10 +66,15 @@
 class Catalog(ABC):
     """Access to the store.
 
+    Attributes:
+        calls: Number of calls, refused ones included.
+
     Every method raises ``StoreUnavailable`` when there was no answer and
     ``RateLimited`` when the call was over the store's rate.
     """
 
+    calls: int = 0
+
     @abstractmethod
     async def snapshot(self, topic: Topic) -> Snapshot:
         """Return all objects of ``topic``."""
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -1,15 +1,20 @@
-"""Log lines and counts of the decisions about requests."""
+"""Log lines and counts of the decisions about requests.
+
+Requests that succeed at once are counted only. The number of lines per second is
+bounded; what is left out is counted as well.
+"""
 
 import time
-from collections import Counter
 from typing import TYPE_CHECKING
 
 import structlog
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.attempt import AttemptResult
+from knapweeddock.gateway.attempt import AttemptEnd, AttemptResult
+from knapweeddock.gateway.metrics import NO_ROUTE, Ending, GatewayMetrics
 from knapweeddock.gateway.placement import Placed
 from knapweeddock.gateway.wire import RequestFacts
+from knapweeddock.http1.server import IncomingRequest
 
 if TYPE_CHECKING:
     from knapweeddock.gateway.forward import Run
@@ -21,31 +26,54 @@
 
 
 class DecisionLog:
-    """Writes a bounded number of lines; every decision is counted."""
+    """Writes a bounded number of lines and counts every decision.
+
+    Attributes:
+        left_out: Number of lines that were not written.
+    """
 
-    def __init__(self) -> None:
-        self.counts: Counter[tuple[str, str]] = Counter()
+    def __init__(self, *, metrics: GatewayMetrics) -> None:
+        self.metrics = metrics
         self.left_out = 0
         self._second = 0
         self._lines = 0
 
-    def ended(self, run: "Run", how: str, status: int | None) -> None:
-        """Note the end of a request that was sent to servers."""
-        self.counts[str(run.route.route), how.partition(":")[0]] += 1
-        if how == "delivered" and status is not None and status < 500:
+    def delivered(self, run: "Run", status: int, *, broke_off: str = "") -> None:
+        """Note a server's response that was passed on.
+
+        Args:
+            run: The request.
+            status: Status of the response.
+            broke_off: Why only a part of it was passed on, or "".
+        """
+        outcome = "failed" if broke_off else "delivered"
+        self._count(run.request, run, outcome, str(status))
+        if not (broke_off or status >= 500 or len(run.tried) > 1) or not self._may_write():
             return
+        log.info(
+            "response delivered" if not broke_off else "response broken off",
+            request=run.facts.request_id,
+            route=run.route.route,
+            servers=run.tried,
+            status=status,
+            reason=broke_off,
+        )
+
+    def client_left(self, run: "Run") -> None:
+        """Note a client that did not wait for the response."""
+        self._count(run.request, run, "left", "client_gone")
         if self._may_write():
             log.info(
-                "request ended",
+                "client left",
                 request=run.facts.request_id,
                 route=run.route.route,
                 servers=run.tried,
-                how=how,
-                status=status,
+                waited_s=_elapsed_s(run.request),
             )
 
     def refused(
         self,
+        request: IncomingRequest,
         facts: RequestFacts,
         code: ResultCode,
         retry_after_s: float,
@@ -54,7 +82,7 @@
         best: Placed | None = None,
     ) -> None:
         """Note a request that has not run, with what the refusal follows from."""
-        self.counts["refused", code.name.lower()] += 1
+        self._count(request, run, "refused", code.name.lower())
         if self._may_write():
             log.info(
                 "request refused",
@@ -65,9 +93,17 @@
                 **_inputs(run, best),
             )
 
-    def failed(self, facts: RequestFacts, status: int, code: ResultCode) -> None:
-        """Note a request that was answered with an error."""
-        self.counts["failed", code.name.lower()] += 1
+    def failed(
+        self,
+        request: IncomingRequest,
+        facts: RequestFacts,
+        status: int,
+        code: ResultCode,
+        *,
+        run: "Run | None" = None,
+    ) -> None:
+        """Note a request that was answered with an error of the gateway's own."""
+        self._count(request, run, "failed", code.name.lower())
         if self._may_write():
             log.info(
                 "request failed",
@@ -75,21 +111,35 @@
                 status=int(status),
                 code=int(code),
                 reason=code.name.lower(),
+                **_inputs(run, None),
             )
 
-    def retried(self, run: "Run", placed: Placed, result: AttemptResult, *, allowed: bool) -> None:
-        """Note an attempt without success and whether another one follows."""
-        self.counts["attempt", result.end.value] += 1
-        if self._may_write():
-            log.info(
-                "attempt without success",
-                request=run.facts.request_id,
-                server=placed.server.entry.server,
-                end=result.end.value,
-                status=result.head.status if result.head else None,
-                reason=result.reason,
-                retried=allowed,
-            )
+    def attempted(
+        self, run: "Run", placed: Placed, result: AttemptResult, *, goes_on: bool
+    ) -> None:
+        """Note the end of an attempt, and whether another one follows."""
+        self.metrics.attempted(result.end)
+        succeeded = result.end is AttemptEnd.RESPONSE and result.head.status < 500
+        if succeeded or not self._may_write():
+            return
+        entry = placed.server.entry
+        log.info(
+            "attempt without success",
+            request=run.facts.request_id,
+            address=f"{entry.address[0]}:{entry.address[1]}",
+            end=result.end.value,
+            status=result.head.status if result.head else None,
+            reason=result.reason,
+            next_attempt=goes_on,
+            **_inputs(run, placed),
+        )
+
+    def _count(
+        self, request: IncomingRequest, run: "Run | None", outcome: str, reason: str
+    ) -> None:
+        route = run.route.route if run is not None else NO_ROUTE
+        ending = Ending(route=route, outcome=outcome, reason=reason)
+        self.metrics.ended(ending, _elapsed_s(request))
 
     def _may_write(self) -> bool:
         second = int(time.monotonic())
@@ -103,6 +153,10 @@
         return True
 
 
+def _elapsed_s(request: IncomingRequest) -> float:
+    return round(time.monotonic() - request.arrived_at, 4)
+
+
 def _inputs(run: "Run | None", best: Placed | None) -> dict[str, object]:
     """Return the facts about a request and the best server for it."""
     fields: dict[str, object] = {}
@@ -110,9 +164,14 @@
         fields["route"] = run.route.route
         fields["service"] = run.service
         fields["object"] = run.facts.object_key
+        fields["config_version"] = run.config_version
+        fields["servers"] = list(run.tried)
         fields["remaining_s"] = round(run.deadline - time.monotonic(), 3)
     if best is not None:
+        now = time.monotonic()
         fields["server"] = best.server.entry.server
         fields["wait_s"] = round(best.wait_s, 3)
         fields["work_s"] = round(best.work_s, 3)
+        fields["load_age_s"] = best.server.load.age_s(now)
+        fields["cold"] = best.server.is_cold(now)
     return fields
--- a/knapweeddock/gateway/following.py
+++ b/knapweeddock/gateway/following.py
@@ -61,7 +61,7 @@
         self.rng = rng
         self.connected = True
         self.returned_at = float("-inf")
-        self._answered_at = float("-inf")
+        self._answered_at = time.monotonic()
         self._waiting: dict[Topic, asyncio.Task[object]] = {}
         self._revisions: dict[Topic, Revision] = {}
 
@@ -80,6 +80,10 @@
         """
         return max(0.0, self.returned_at + self.lapse_s - time.monotonic())
 
+    def age_s(self) -> float:
+        """Return the seconds since the store answered last."""
+        return time.monotonic() - self._answered_at
+
     async def _follow(self, topic: Topic) -> None:
         failures = 0
         while True:
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -18,7 +18,7 @@
 from knapweeddock.gateway.wire import RequestFacts, WireFormat
 from knapweeddock.http1.answer import AnswerState
 from knapweeddock.http1.server import IncomingRequest
-from knapweeddock.ids import ServerId, ServiceId
+from knapweeddock.ids import ServerId, ServiceId, Version
 
 log = structlog.get_logger(__name__)
 
@@ -54,6 +54,7 @@
     Attributes:
         request: The client's request.
         facts: What the client says about it.
+        config_version: Configuration that the route is from.
         route: Its route.
         service: Service that runs it.
         deadline: Monotonic time after which nobody waits.
@@ -65,6 +66,7 @@
 
     request: IncomingRequest
     facts: RequestFacts
+    config_version: Version
     route: Route
     service: ServiceId
     deadline: float
@@ -116,6 +118,7 @@
         run = Run(
             request=request,
             facts=facts,
+            config_version=config.version,
             route=route,
             service=self.view.splits.service_of(route),
             deadline=request.arrived_at + budget_s,
@@ -134,15 +137,15 @@
             else:
                 run.request.answer.abort()
         except ClientGone:
-            self.decisions.ended(run, "client gone", None)
+            self.decisions.client_left(run)
 
     def _time_out(self, run: Run) -> None:
         if run.tried:
-            self._fail(
-                run.request, run.facts, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN
-            )
+            self._fail_run(run, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN)
         else:
-            self._refuse(run.request, run.facts, ResultCode.DEADLINE_PASSED, retry_after_s=0.0)
+            self._refuse(
+                run.request, run.facts, ResultCode.DEADLINE_PASSED, retry_after_s=0.0, run=run
+            )
 
     async def _run(self, run: Run) -> None:
         start = await run.request.body.first_part(KEPT_BODY_BYTES)
@@ -172,11 +175,13 @@
             self.judgement.judge(run, placed, result, started_at=now)
             if result.end is AttemptEnd.UNREACHABLE:
                 self.attempts.pool.drop(placed.server.entry.server)
-            if not self._goes_on(run, outgoing, placed, result):
+            goes_on = self._goes_on(run, outgoing, result)
+            self.decisions.attempted(run, placed, result, goes_on=goes_on)
+            if not goes_on:
                 await self._conclude(run, placed, result)
                 return
 
-    def _goes_on(self, run: Run, outgoing: Outgoing, placed: Placed, result: AttemptResult) -> bool:
+    def _goes_on(self, run: Run, outgoing: Outgoing, result: AttemptResult) -> bool:
         """Decide whether the request is sent to another server."""
         if not outgoing.has_whole_body:
             return False
@@ -192,7 +197,6 @@
         retried = self.judgement.may_retry(run, result)
         if retried and result.end is AttemptEnd.RESPONSE:
             run.kept = result
-        self.decisions.retried(run, placed, result, allowed=retried)
         return retried
 
     async def _conclude(self, run: Run, placed: Placed, result: AttemptResult) -> None:
@@ -202,7 +206,7 @@
         elif run.kept is not None:
             await self._deliver(run, run.kept)
         elif run.lost or result.end is AttemptEnd.LOST:
-            self._fail(run.request, run.facts, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            self._fail_run(run, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
         else:
             retry_after_s = self.placement.retry_after_s(placed.wait_s)
             self._refuse(
@@ -219,7 +223,7 @@
         if run.kept is not None:
             await self._deliver(run, run.kept)
         elif run.lost:
-            self._fail(run.request, run.facts, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            self._fail_run(run, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
         else:
             self._refuse(
                 run.request,
@@ -235,7 +239,7 @@
         head = result.head
         if not run.route.idempotent and head.status in RESERVED_STATUSES:
             # The status would promise that the request has not run.
-            self._fail(run.request, run.facts, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            self._fail_run(run, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
             return
         answer = run.request.answer
         headers = self.wire.client_response(head)
@@ -243,7 +247,7 @@
             length = head.length if run.request.head.method == b"HEAD" else len(result.body)
             answer.start(head.status, headers, length=length, body=result.body)
             answer.finish()
-            self.decisions.ended(run, "delivered", head.status)
+            self.decisions.delivered(run, head.status)
             return
         answer.start(head.status, headers, length=head.length, body=result.body)
         connection = result.connection
@@ -251,13 +255,13 @@
             while chunk := await connection.read():
                 await answer.write(chunk)
         except ResponseError as error:
-            self.decisions.ended(run, f"response broke off: {error}", head.status)
+            self.decisions.delivered(run, head.status, broke_off=str(error))
             answer.abort()
             return
         finally:
             self.attempts.pool.give_back(run.tried[-1], connection)
         answer.finish()
-        self.decisions.ended(run, "delivered", head.status)
+        self.decisions.delivered(run, head.status)
 
     def _refuse(
         self,
@@ -272,14 +276,19 @@
         """Answer that the request has not run and never will."""
         headers = self.wire.refusal(facts, retry_after_s=retry_after_s)
         request.answer.respond(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        self.decisions.refused(facts, code, retry_after_s, run=run, best=best)
+        self.decisions.refused(request, facts, code, retry_after_s, run=run, best=best)
 
     def _fail(
         self, request: IncomingRequest, facts: RequestFacts, status: HTTPStatus, code: ResultCode
     ) -> None:
         """Answer with an error that promises nothing."""
         request.answer.respond(status, self.wire.refusal(facts, retry_after_s=None))
-        self.decisions.failed(facts, status, code)
+        self.decisions.failed(request, facts, status, code)
+
+    def _fail_run(self, run: Run, status: HTTPStatus, code: ResultCode) -> None:
+        headers = self.wire.refusal(run.facts, retry_after_s=None)
+        run.request.answer.respond(status, headers)
+        self.decisions.failed(run.request, run.facts, status, code, run=run)
 
 
 def _host_and_path(request: IncomingRequest) -> tuple[str, str] | None:
--- a/knapweeddock/gateway/judgement.py
+++ b/knapweeddock/gateway/judgement.py
@@ -103,6 +103,12 @@
         share.record_retry(now)
         return True
 
+    def retries_left(self) -> dict[str, int]:
+        """Return how many retries the budget allows now, by service."""
+        now = self.now()
+        gateways = self.gateways()
+        return {service: share.left(gateways, now) for service, share in self._shares.items()}
+
     def _share(self, service: ServiceId) -> RetryShare:
         share = self._shares.get(service)
         if share is None:
--- a/knapweeddock/gateway/retryshare.py
+++ b/knapweeddock/gateway/retryshare.py
@@ -33,8 +33,8 @@
             self._requests.append([now, 0.0])
         self._requests[-1][1] += 1
 
-    def allows(self, gateways: int, now: float) -> bool:
-        """Whether one more retry fits.
+    def left(self, gateways: int, now: float) -> int:
+        """Return how many more retries fit.
 
         Args:
             gateways: Number of registered gateways, this one included.
@@ -43,7 +43,11 @@
         self._forget(now)
         requests = sum(count for _, count in self._requests)
         bound = RATIO_PART * self.ratio * requests + SLACK_PART * self.slack / max(1, gateways)
-        return len(self._retries) + 1 <= bound
+        return max(0, int(bound) - len(self._retries))
+
+    def allows(self, gateways: int, now: float) -> bool:
+        """Whether one more retry fits."""
+        return self.left(gateways, now) > 0
 
     def record_retry(self, now: float) -> None:
         """Count a retry."""
--- a/knapweeddock/gateway/serverload.py
+++ b/knapweeddock/gateway/serverload.py
@@ -47,6 +47,10 @@
             return 0.0
         return self._foreign * math.exp(-max(0.0, now - self._at) / FADE_S)
 
+    def age_s(self, now: float) -> float:
+        """Return the age of the announced load in seconds, -1 when there is none."""
+        return round(now - self._at, 3) if self._at else -1.0
+
     def total(self, now: float) -> float:
         """Return the estimated requests at the server."""
         return self.own + self.foreign(now)
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -20,6 +20,7 @@
 from knapweeddock.gateway.following import StoreFollower
 from knapweeddock.gateway.forward import Forwarder
 from knapweeddock.gateway.judgement import Judgement
+from knapweeddock.gateway.metrics import GatewayMetrics, GatewayState
 from knapweeddock.gateway.peers import GatewayPhase, Heartbeat, Peers, heartbeat_port
 from knapweeddock.gateway.placement import Placement
 from knapweeddock.gateway.probing import Prober
@@ -30,8 +31,10 @@
 from knapweeddock.gateway.view import View
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.gateway.worktimes import WorkTimes
+from knapweeddock.http1.messages import header_text
 from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
 from knapweeddock.ids import Incarnation, new_id
+from knapweeddock.metrics import METRICS_PATH
 
 log = structlog.get_logger(__name__)
 
@@ -76,7 +79,9 @@
         self.view = View(fleet=Fleet())
         self.work = WorkTimes()
         self.pool = ServerPool()
-        self.decisions = DecisionLog()
+        self.metrics = GatewayMetrics(vm=settings.vm)
+        self.metrics.process.before_reading = self._show_state
+        self.decisions = DecisionLog(metrics=self.metrics)
         self.prober = Prober(view=self.view, wire=wire)
         self._pool_revision = -1
         self._build_coordination()
@@ -109,7 +114,7 @@
 
     def _build_forwarding(self) -> None:
         bounds = self.settings.bounds
-        judgement = Judgement(
+        self.judgement = Judgement(
             work=self.work,
             bounds=bounds,
             demand=self.demand,
@@ -131,13 +136,14 @@
             wire=self.wire,
             attempts=Attempts(wire=self.wire, pool=self.pool),
             placement=placement,
-            judgement=judgement,
+            judgement=self.judgement,
             decisions=self.decisions,
         )
 
     def _build_listeners(self) -> None:
         self.front = HttpListener(handler=self.forwarder.handle, limits=self.view.limits)
         self.ready = HttpListener(handler=self._answer_ready, limits=ClientLimits)
+        self.metrics_port = HttpListener(handler=self._answer_metrics, limits=ClientLimits)
         self.lookup = HttpListener(handler=self._answer_lookup, limits=ClientLimits)
 
     def _cold_part(self, server: ServerState) -> int:
@@ -160,7 +166,7 @@
         self.settings = dataclasses.replace(self.settings, bounds=settings.bounds)
         self.follower.silence_s = settings.bounds.store_silence_s
         self.follower.lapse_s = settings.bounds.server_lapse_s
-        self.forwarder.judgement.bounds = settings.bounds
+        self.judgement.bounds = settings.bounds
         log.info("settings reloaded", needs_restart=self.settings != settings)
 
     # Running
@@ -185,10 +191,22 @@
             listening(self.ready, settings.ready),
             listening(self.lookup, settings.lookup),
             listening(self.front, settings.front),
+            self._metrics_served(),
             heartbeat_port(self.peers, settings.peer),
         ):
             yield
 
+    @contextlib.asynccontextmanager
+    async def _metrics_served(self) -> AsyncIterator[None]:
+        """Serve metrics if their port is free; requests do not depend on them."""
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                port = listening(self.metrics_port, self.settings.metrics)
+                await stack.enter_async_context(port)
+            except OSError as error:
+                log.error("metrics are not served", reason=str(error))
+            yield
+
     async def _register(self) -> None:
         """Announce this gateway, again until the store has taken it."""
         settings = self.settings
@@ -258,6 +276,43 @@
             shares=self.demand.shares(),
         )
 
+    def _show_state(self) -> None:
+        """Hand over the present state to the metrics."""
+        now = time.monotonic()
+        states = self.view.fleet.servers.values()
+        servers = {
+            "listed": len(states),
+            "cold": sum(state.is_cold(now) for state in states),
+            "unreachable": sum(not state.standing.is_usable() for state in states),
+            "lapsing": sum(state.lapses_at is not None for state in states),
+        }
+        config = self.view.config
+        self.metrics.show(
+            GatewayState(
+                config_version=config.version if config is not None else 0,
+                store_age_s=self.follower.age_s(),
+                store_calls=self.catalog.calls,
+                active=self.front.active,
+                connections=len(self.front.connections),
+                servers=servers,
+                gateways_alive=len(self.peers.alive(now)),
+                server_connections=self.pool.opened,
+                probes=self.prober.sent,
+                retries_left=self.judgement.retries_left(),
+                lines_left_out=self.decisions.left_out,
+            )
+        )
+
+    async def _answer_metrics(self, request: IncomingRequest) -> None:
+        path = request.head.target.partition(b"?")[0].decode("latin-1")
+        if path != METRICS_PATH:
+            request.answer.respond(HTTPStatus.NOT_FOUND, [])
+            return
+        accept = [header_text(request.head.headers, b"accept")]
+        content, headers = self.metrics.process.render(accept)
+        encoded = [(name.encode(), value.encode()) for name, value in headers.items()]
+        request.answer.respond(HTTPStatus.OK, encoded, content)
+
     async def _answer_ready(self, request: IncomingRequest) -> None:
         if not self.wire.is_ready_check(request.head):
             status = HTTPStatus.NOT_FOUND
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -61,6 +61,7 @@
         front: Address for clients' requests.
         ready: Address for readiness checks.
         lookup: Address for look-ups.
+        metrics: Address for readers of metrics.
         peer: Address for heartbeats of other gateways.
         store: The platform's store.
         bounds: Bounds on the deployment.
@@ -73,6 +74,7 @@
     front: Address
     ready: Address
     lookup: Address
+    metrics: Address
     peer: Address
     store: StoreLimits
     bounds: GatewayBounds = field(default_factory=GatewayBounds)
--- a/knapweeddock/lookupd/web.py
+++ b/knapweeddock/lookupd/web.py
@@ -9,6 +9,7 @@
 from knapweeddock.errors import KnapweedError
 from knapweeddock.lookup import Lookup
 from knapweeddock.metrics import ProcessMetrics
+from knapweeddock.metricsweb import MetricsHandler
 from knapweeddock.state import Member
 from knapweeddock.statusclient import MemberStatus, SystemStatus
 
@@ -103,7 +104,7 @@
         """Answer ``GET /metrics``."""
         state = self.lookup.state
         self.version.set({}, state.config_version if state else 0)
-        return await self.metrics.handle(request)
+        return await MetricsHandler(metrics=self.metrics).handle(request)
 
 
 def _status_of(member: Member) -> MemberStatus:
--- a/knapweeddock/metrics.py
+++ b/knapweeddock/metrics.py
@@ -1,8 +1,7 @@
-"""Prometheus metrics of a process and the handler that serves them."""
+"""Prometheus metrics of a process."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
-from aiohttp import hdrs, web
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 METRICS_PATH = "/metrics"
@@ -44,10 +43,11 @@
             buckets=SECONDS_BUCKETS,
         )
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Answer a request for ``/metrics``."""
-        if request.path != METRICS_PATH:
-            return web.Response(status=404, text=f"Only {METRICS_PATH} is served here.\n")
+    def render(self, accept: Sequence[str]) -> tuple[bytes, Mapping[str, str]]:
+        """Return the metrics as text, and the headers that describe it.
+
+        Args:
+            accept: Values of the ``Accept`` header of the request.
+        """
         self.before_reading()
-        content, headers = render(self.registry, request.headers.getall(hdrs.ACCEPT, []))
-        return web.Response(body=content, headers=headers)
+        return render(self.registry, list(accept))
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -21,6 +21,9 @@
 SETTINGS_VARIABLE = "KNAPWEEDDOCK_BOOT"
 """Environment variable with the path of the settings file."""
 
+METRICS_PORT = 9464
+"""Port for readers of metrics; ``deploy/system.toml`` names the same."""
+
 REFERENCE_MBPS = 100.0
 """Bandwidth of a VM's link in Mbit/s that counts as weight 1."""
 
@@ -66,6 +69,7 @@
         front=address(listen.get("Front")),
         ready=address(listen.get("Ready")),
         lookup=address(listen.get("Directory")),
+        metrics=(field(document, "Ip", str), METRICS_PORT),
         peer=(field(document, "Ip", str), ports[0]),
         store=StoreLimits(
             address=address(platform.get("Address")),
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -149,6 +149,11 @@
         self.client = client
         self.regions = regions
 
+    @property
+    def calls(self) -> int:
+        """Number of calls, refused ones included."""
+        return self.client.calls
+
     async def snapshot(self, topic: Topic) -> Snapshot:
         """Return all objects of ``topic``, page by page."""
         items: dict[str, Item] = {}
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import AsyncIterator
 
 from knapweeddock.gateway import following
@@ -111,7 +112,7 @@
     # After a cut several calls that had waited fail one after the other; each would
     # prolong the time in which a server that has left still gets requests.
     follower = Setup().follower
-    follower._failed("first", 0.0)
+    follower._failed("first", time.monotonic())
     assert not follower.connected
     follower._answered()
     returned_at = follower.returned_at
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -241,3 +241,22 @@
         bound = 3.5 * 1.5 + 5
         assert len(world.ran()) <= bound
         assert {reply.status for reply in replies} == {200, 503}
+
+
+async def test_metrics_count_requests_by_route_outcome_and_reason(settings_path):
+    async with running_world(settings_path, servers=1) as world:
+        await world.ask("/read/a")
+        await world.ask("/none/")
+        world.servers["i-0"].fault = ServerFault.SHED
+        await world.ask("/read/a", request_id="q2")
+        reply = await world.get(world.gateway.settings.metrics, "/metrics")
+        text = reply.body.decode()
+        assert 'knapweed_config_version{process="knapweed-gateway"' in text
+        for expected in (
+            'outcome="delivered",process="knapweed-gateway",reason="200",route="r-read"',
+            'outcome="failed",process="knapweed-gateway",reason="unknown_service",route="-"',
+            'outcome="refused"',
+            'end="not run"',
+        ):
+            assert expected in text
+        assert (await world.get(world.gateway.settings.metrics, "/other")).status == 404
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -161,7 +162,7 @@
 
 def _start(path: Path, text: str, store: MetaStore) -> World:
     path.write_text(text)
-    settings = load(path)
+    settings = dataclasses.replace(load(path), metrics=("127.0.0.1", free_port()))
     catalog = StoreCatalog(
         client=StoreClient(address=settings.store.address), regions=settings.regions
     )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,11 +1,12 @@
 import io
 import json
 import logging
+import os
 
 import pytest
 import structlog
 
-from knapweeddock.logs import configure_logs
+from knapweeddock.logs import DroppingStream, configure_logs
 
 
 @pytest.fixture
@@ -46,3 +47,15 @@
         logger.exception("task ended")
     (line,) = lines(stream)
     assert line["exception"][0]["exc_value"] == "broken"
+
+
+def test_stream_drops_what_a_full_pipe_does_not_take():
+    # A reader that has stopped must not stop the process that logs.
+    reading, writing = os.pipe()
+    stream = DroppingStream(descriptor=writing)
+    while not stream.dropped:
+        stream.write("x" * 4096)
+    assert stream.write("one more") == len("one more")
+    assert stream.dropped == 2
+    os.close(reading)
+    os.close(writing)
