Let one gateway of each region watch the store and pass its changes on

Now the first gateway of a region in rendezvous order watches; the others take updates and pulses from it, or from a second one that stands by. A gateway without a working relay watches by itself. Only pings are repeated while the store is away. The work of gateways that are not heard is taken from those that are.

--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -1,12 +1,14 @@
 """How much work this gateway's clients bring, and where it should run."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import structlog
 
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.peers import Heartbeat
+from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.gateway.spill import Shares, SpillShares, divide
 from knapweeddock.gateway.worktimes import WorkTimes
 from knapweeddock.ids import RegionId, ServiceId
@@ -64,6 +66,7 @@
         work: WorkTimes,
         shift_bound: float,
         heartbeats: Callable[[], Iterable[Heartbeat]],
+        gateways: Callable[[], Iterable[GatewayEntry]],
     ) -> None:
         self.region = region
         self.fleet = fleet
@@ -71,6 +74,7 @@
         self.rate_per_s = SHIFT_PART * shift_bound
         self.first_step = FIRST_STEP_PART * shift_bound
         self.heartbeats = heartbeats
+        self.gateways = gateways
         self.spills: dict[ServiceId, SpillShares] = {}
         self._rates: dict[ServiceId, RequestRate] = {}
         self._reported: dict[ServiceId, dict[RegionId, float]] = {}
@@ -98,10 +102,7 @@
             rate = self._rates.get(service)
             if rate is None or now - rate.first_at < FIRST_GOAL_S:
                 continue
-            work = {self.region: own.get(service, 0.0)}
-            for heartbeat in others:
-                found = heartbeat.work.get(service, 0.0)
-                work[heartbeat.region] = work.get(heartbeat.region, 0.0) + found
+            work = self._work_of_regions(service, own.get(service, 0.0), others)
             slots = {
                 region: self.fleet.slots(service, region) for region in self.fleet.regions(service)
             }
@@ -117,6 +118,23 @@
             spill.follow(divide(self.region, work, slots), now)
             self._report(service, spill, work, slots)
 
+    def _work_of_regions(
+        self, service: ServiceId, own: float, others: list[Heartbeat]
+    ) -> dict[RegionId, float]:
+        """Return the work of all gateways of each region.
+
+        In a large fleet only some gateways are heard; the others of their region
+        are taken to have as much work.
+        """
+        heard: dict[RegionId, list[float]] = {self.region: [own]}
+        for heartbeat in others:
+            heard.setdefault(heartbeat.region, []).append(heartbeat.work.get(service, 0.0))
+        registered = Counter(entry.region for entry in self.gateways())
+        return {
+            region: round(sum(work) / len(work) * max(len(work), registered[region]), 2)
+            for region, work in heard.items()
+        }
+
     def shares(self) -> dict[ServiceId, Shares]:
         """Return the shares in force by service."""
         return {
--- a/knapweeddock/gateway/following.py
+++ b/knapweeddock/gateway/following.py
@@ -1,4 +1,4 @@
-"""Keeps the view up to date with the store, through its outages."""
+"""Keeps the mirror up to date with the store, through its outages."""
 
 import asyncio
 import random
@@ -8,8 +8,7 @@
 
 from knapweeddock.errors import HistoryGone, StoreError
 from knapweeddock.gateway.catalog import Catalog, Topic
-from knapweeddock.gateway.view import View
-from knapweeddock.ids import Revision
+from knapweeddock.gateway.mirror import Mirror
 
 log = structlog.get_logger(__name__)
 
@@ -38,8 +37,9 @@
 class StoreFollower:
     """Follows all topics of the store.
 
+    While the store is away only pings are repeated, since every call is priced.
+
     Attributes:
-        connected: Whether the store answered last.
         returned_at: Monotonic time at which the store answered after an outage.
     """
 
@@ -47,23 +47,35 @@
         self,
         *,
         catalog: Catalog,
-        view: View,
+        mirror: Mirror,
         silence_s: float,
         lapse_s: float,
         history_s: float,
         rng: random.Random,
     ) -> None:
         self.catalog = catalog
-        self.view = view
+        self.mirror = mirror
         self.silence_s = silence_s
         self.lapse_s = lapse_s
         self.watch_s = WATCH_PART * history_s
         self.rng = rng
-        self.connected = True
         self.returned_at = float("-inf")
+        self._connected = asyncio.Event()
+        self._connected.set()
         self._answered_at = time.monotonic()
         self._waiting: dict[Topic, asyncio.Task[object]] = {}
-        self._revisions: dict[Topic, Revision] = {}
+
+    @property
+    def connected(self) -> bool:
+        """Whether the store answered last."""
+        return self._connected.is_set()
+
+    async def read_all(self) -> None:
+        """Read the topics that were never read, until all of them are there."""
+        async with asyncio.TaskGroup() as group:
+            for topic in Topic:
+                if topic not in self.mirror.revisions:
+                    group.create_task(self._read_first(topic))
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -84,12 +96,25 @@
         """Return the seconds since the store answered last."""
         return time.monotonic() - self._answered_at
 
+    async def _read_first(self, topic: Topic) -> None:
+        failures = 0
+        while True:
+            started_at = time.monotonic()
+            try:
+                await self._read(topic)
+                return
+            except StoreError as error:
+                failures += 1
+                self._failed(str(error), started_at)
+                await self._pause(failures)
+
     async def _follow(self, topic: Topic) -> None:
         failures = 0
         while True:
+            await self._connected.wait()
             started_at = time.monotonic()
             try:
-                if topic in self._revisions:
+                if topic in self.mirror.revisions:
                     await self._watch(topic)
                 else:
                     await self._read(topic)
@@ -99,7 +124,7 @@
                 self._forget_revisions()
             except StoreError as error:
                 failures += 1
-                was_watching = self._revisions.pop(topic, None) is not None
+                was_watching = self.mirror.revisions.pop(topic, None) is not None
                 if was_watching:
                     # The list tells what a broken watch has missed; a new watch from
                     # the same revision may wait without ever hearing of it.
@@ -111,11 +136,10 @@
     async def _read(self, topic: Topic) -> None:
         snapshot = await self.catalog.snapshot(topic)
         self._answered()
-        self.view.take_snapshot(topic, snapshot, grace_s=self.grace_s())
-        self._revisions[topic] = snapshot.revision
+        self.mirror.replace(topic, snapshot, grace_s=self.grace_s())
 
     async def _watch(self, topic: Topic) -> None:
-        revision = self._revisions[topic]
+        revision = self.mirror.revisions[topic]
         task = asyncio.create_task(self.catalog.changes(topic, revision, self.watch_s))
         self._waiting[topic] = task
         try:
@@ -128,10 +152,8 @@
             return
         found = task.result()
         self._answered()
-        for change in found.changes:
-            self.view.take_change(topic, change, grace_s=self.grace_s())
-        if self._revisions.get(topic) == revision:
-            self._revisions[topic] = found.revision
+        if self.mirror.revisions.get(topic) == revision:
+            self.mirror.apply(topic, found, grace_s=self.grace_s())
         if found.changes:
             await asyncio.sleep(BATCH_S[topic])
 
@@ -141,7 +163,7 @@
         A watch that began shortly before the history was lost may wait on
         without hearing of what was lost.
         """
-        self._revisions.clear()
+        self.mirror.revisions.clear()
         self._restart_watches()
 
     async def _ping(self) -> None:
@@ -158,8 +180,8 @@
                 await self._pause(failures)
             else:
                 if failures:
-                    self._answered()
                     self._restart_watches()
+                self._answered()
                 failures = 0
                 await asyncio.sleep(PING_PART * self.silence_s)
 
@@ -177,11 +199,11 @@
             return
         if self.connected:
             log.warning("store lost", reason=reason)
-        self.connected = False
+        self._connected.clear()
 
     def _answered(self) -> None:
         self._answered_at = time.monotonic()
         if not self.connected:
             self.returned_at = self._answered_at
             log.info("store regained")
-        self.connected = True
+        self._connected.set()
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -57,10 +57,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Heard:
-    """The latest heartbeat of a gateway and when it came (monotonic seconds)."""
+    """The latest heartbeat of a gateway.
+
+    Attributes:
+        heartbeat: The heartbeat.
+        at: Monotonic time at which it came.
+        address: Where it came from.
+    """
 
     heartbeat: Heartbeat
     at: float
+    address: Address
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -98,7 +105,7 @@
         before = self.heard.get(heartbeat.vm)
         if before is None or now - before.at > SILENT_S:
             log.info("gateway heard", vm=heartbeat.vm, phase=heartbeat.phase.value)
-        self.heard[heartbeat.vm] = Heard(heartbeat=heartbeat, at=now)
+        self.heard[heartbeat.vm] = Heard(heartbeat=heartbeat, at=now, address=address)
 
     def error_received(self, error: OSError) -> None:
         """Note that a datagram was not delivered, as to a gateway that is gone."""
@@ -108,6 +115,20 @@
         """Return the heartbeats of the gateways that were heard a short time ago."""
         return [heard.heartbeat for heard in self.heard.values() if now - heard.at <= SILENT_S]
 
+    def near(self, now: float) -> list[VmId]:
+        """Return the gateways of the own region that live and stay, this one included."""
+        found = {
+            heartbeat.vm
+            for heartbeat in self.alive(now)
+            if heartbeat.region == self.region and heartbeat.phase is not GatewayPhase.LEAVING
+        }
+        return sorted(found | {self.vm})
+
+    def address_of(self, vm: VmId) -> Address | None:
+        """Return the address from which ``vm`` sends its heartbeats."""
+        heard = self.heard.get(vm)
+        return None if heard is None else heard.address
+
     def send(self) -> None:
         """Send one heartbeat to each receiver."""
         if self.transport is None:
--- /dev/null
+++ b/knapweeddock/gateway/relay.py
@@ -0,0 +1,219 @@
+"""Passes the store's changes from one gateway on to others.
+
+In a large fleet a watch of the store by every gateway would cost calls that grow
+with the fleet. One gateway of each region watches the store; the others take the
+changes from it over TCP, or from a second one when it fails.
+"""
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+import structlog
+
+from knapweeddock.errors import MessageError, PeerUnavailable
+from knapweeddock.gateway.catalog import Item, Topic
+from knapweeddock.gateway.mirror import Mirror, Update
+from knapweeddock.gateway.records import Address, GatewayEntry, ServerEntry
+from knapweeddock.gateway.routes import RoutingConfig
+from knapweeddock.ids import FailureDomainId, Revision
+
+log = structlog.get_logger(__name__)
+
+PULSE_S = 0.3
+"""Interval in seconds at which a subscriber hears that the changes are complete."""
+
+SILENT_S = 0.9
+"""Time in seconds without a message after which a subscriber leaves."""
+
+CONNECT_TIMEOUT_S = 0.3
+"""Time in seconds for a connection within a region."""
+
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+MAX_BACKLOG_BYTES = 4 * 1024 * 1024
+"""Bytes that a subscriber may be behind before it is dropped."""
+
+LENGTH = struct.Struct("!I")
+
+ITEM_TYPES = {
+    Topic.CONFIGURATION: RoutingConfig,
+    Topic.SERVERS: ServerEntry,
+    Topic.EVACUATIONS: FailureDomainId,
+    Topic.GATEWAYS: GatewayEntry,
+}
+
+
+class Pulse(msgspec.Struct, frozen=True, kw_only=True, tag="pulse"):
+    """Says that all changes up to now were sent.
+
+    Attributes:
+        connected: Whether the store answers the sender.
+    """
+
+    connected: bool
+
+
+class EncodedUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
+    """An update whose objects are not decoded yet; their type follows from the topic."""
+
+    topic: Topic
+    whole: bool
+    items: dict[str, msgspec.Raw]
+    revision: Revision
+    grace_s: float = 0.0
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(EncodedUpdate | Pulse)
+_item_decoders = {topic: msgspec.msgpack.Decoder(kind | None) for topic, kind in ITEM_TYPES.items()}
+
+
+def encode(message: Update | Pulse) -> bytes:
+    """Return ``message`` with its length in front."""
+    data = _encoder.encode(message)
+    return LENGTH.pack(len(data)) + data
+
+
+def decode(data: bytes) -> Update | Pulse:
+    """Return the message in ``data``.
+
+    Raises:
+        MessageError: The data is no message.
+    """
+    try:
+        message = _decoder.decode(data)
+        if isinstance(message, Pulse):
+            return message
+        decoder = _item_decoders[message.topic]
+        items: dict[str, Item | None] = {
+            name: decoder.decode(raw) for name, raw in message.items.items()
+        }
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"message of a relay: {error}") from error
+    return Update(
+        topic=message.topic,
+        whole=message.whole,
+        items=items,
+        revision=message.revision,
+        grace_s=message.grace_s,
+    )
+
+
+class RelayServer:
+    """Sends the mirror's changes to subscribers.
+
+    Attributes:
+        serving: Whether subscribers are accepted.
+    """
+
+    def __init__(self, *, mirror: Mirror, connected: Callable[[], bool]) -> None:
+        self.mirror = mirror
+        self.connected = connected
+        self.serving = False
+        self._subscribers: set[asyncio.StreamWriter] = set()
+        mirror.listeners.append(self._pass_on)
+
+    @property
+    def subscribers(self) -> int:
+        """Number of subscribers."""
+        return len(self._subscribers)
+
+    def stop(self) -> None:
+        """Send the subscribers away."""
+        self.serving = False
+        for writer in self._subscribers:
+            writer.close()
+        self._subscribers.clear()
+
+    async def run(self) -> None:
+        """Send pulses until cancelled."""
+        while True:
+            if self._subscribers:
+                self._send(encode(Pulse(connected=self.connected())))
+            await asyncio.sleep(PULSE_S)
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one subscriber until it leaves."""
+        if not self.serving or not self.mirror.is_complete:
+            writer.close()
+            return
+        for topic in Topic:
+            writer.write(encode(self.mirror.whole(topic)))
+        writer.write(encode(Pulse(connected=self.connected())))
+        self._subscribers.add(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        self._subscribers.discard(writer)
+        writer.close()
+
+    def _pass_on(self, update: Update) -> None:
+        if self._subscribers:
+            self._send(encode(update))
+
+    def _send(self, data: bytes) -> None:
+        for writer in list(self._subscribers):
+            if writer.transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
+                log.warning("subscriber dropped; it reads too slowly")
+                self._subscribers.discard(writer)
+                writer.transport.abort()
+            else:
+                writer.write(data)
+
+
+@contextlib.asynccontextmanager
+async def relay_port(relay: RelayServer, address: Address) -> AsyncIterator[None]:
+    """Accept subscribers on ``address`` within the block."""
+    server = await asyncio.start_server(relay.accept, address[0], address[1])
+    try:
+        yield
+    finally:
+        relay.stop()
+        server.close()
+
+
+async def subscribe(mirror: Mirror, address: Address, *, on_pulse: Callable[[], None]) -> None:
+    """Take changes from the relay at ``address`` into ``mirror``.
+
+    The mirror's content stays as it is until the relay has sent its own. Returns
+    never; it ends with an error.
+
+    Args:
+        mirror: Copy of the store's objects.
+        address: Address of the relay.
+        on_pulse: Called whenever the changes are known to be complete.
+
+    Raises:
+        PeerUnavailable: The relay is away, silent, or cut off from the store.
+        MessageError: The relay sent something else.
+    """
+    place = f"{address[0]}:{address[1]}"
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(address[0], address[1])
+    except (OSError, TimeoutError) as error:
+        raise PeerUnavailable(f"{place}: {error or 'no connection in time'}") from error
+    try:
+        while True:
+            message = await _next(reader, place)
+            match message:
+                case Update():
+                    mirror.take(message)
+                case Pulse(connected=True):
+                    on_pulse()
+                case Pulse():
+                    raise PeerUnavailable(f"{place}: the relay has lost the store")
+    finally:
+        writer.transport.abort()
+
+
+async def _next(reader: asyncio.StreamReader, place: str) -> Update | Pulse:
+    try:
+        async with asyncio.timeout(SILENT_S):
+            (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+            if length > MAX_MESSAGE_BYTES:
+                raise MessageError(f"{place}: a message of {length} bytes")
+            return decode(await reader.readexactly(length))
+    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+        raise PeerUnavailable(f"{place}: {error or 'silent'}") from error
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -21,13 +21,16 @@
 from knapweeddock.gateway.forward import Forwarder
 from knapweeddock.gateway.judgement import Judgement
 from knapweeddock.gateway.metrics import GatewayMetrics, GatewayState
+from knapweeddock.gateway.mirror import Mirror
 from knapweeddock.gateway.peers import GatewayPhase, Heartbeat, Peers, heartbeat_port
 from knapweeddock.gateway.placement import Placement
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.records import GatewayEntry
+from knapweeddock.gateway.relay import RelayServer, relay_port
 from knapweeddock.gateway.serverpool import ServerPool
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.sourcing import StoreSource
 from knapweeddock.gateway.view import View
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.gateway.worktimes import WorkTimes
@@ -90,9 +93,11 @@
 
     def _build_coordination(self) -> None:
         bounds = self.settings.bounds
+        self.mirror = Mirror()
+        self.mirror.listeners.append(self.view.take)
         self.follower = StoreFollower(
             catalog=self.catalog,
-            view=self.view,
+            mirror=self.mirror,
             silence_s=bounds.store_silence_s,
             lapse_s=bounds.server_lapse_s,
             history_s=self.settings.store.history_s,
@@ -104,8 +109,20 @@
             gateways=lambda: list(self.view.gateways.values()),
             own=self._heartbeat,
         )
+        self.relay = RelayServer(mirror=self.mirror, connected=lambda: self.source.connected)
+        self.source = StoreSource(
+            vm=self.settings.vm,
+            region=self.settings.region,
+            mirror=self.mirror,
+            follower=self.follower,
+            relay=self.relay,
+            alive=lambda: self.peers.near(time.monotonic()),
+            address_of=self.peers.address_of,
+            rng=self.rng,
+        )
         self.demand = Demand(
             region=self.settings.region,
+            gateways=lambda: self.view.gateways.values(),
             fleet=self.view.fleet,
             work=self.work,
             shift_bound=bounds.region_shift,
@@ -176,7 +193,7 @@
         async with self._open_ports():
             log.info("gateway started", vm=self.settings.vm, incarnation=self.incarnation)
             async with _background(
-                self.follower.run, self.peers.run, self._register, self._keep_up
+                self.source.run, self.relay.run, self.peers.run, self._register, self._keep_up
             ):
                 await stop.wait()
                 await self.drain()
@@ -193,6 +210,7 @@
             listening(self.front, settings.front),
             self._metrics_served(),
             heartbeat_port(self.peers, settings.peer),
+            relay_port(self.relay, settings.peer),
         ):
             yield
 
@@ -251,6 +269,7 @@
         limit_s = self.settings.bounds.stop_limit_s
         self.phase = GatewayPhase.LEAVING
         self.front.draining = True
+        self.relay.stop()
         self.peers.send()
         log.info("stopping", active=self.front.active, connections=len(self.front.connections))
         while time.monotonic() - started_at < CLOSE_IDLE_PART * limit_s:
@@ -290,7 +309,7 @@
         self.metrics.show(
             GatewayState(
                 config_version=config.version if config is not None else 0,
-                store_age_s=self.follower.age_s(),
+                store_age_s=self.source.age_s(),
                 store_calls=self.catalog.calls,
                 active=self.front.active,
                 connections=len(self.front.connections),
--- a/knapweeddock/gateway/view.py
+++ b/knapweeddock/gateway/view.py
@@ -5,9 +5,10 @@
 
 import structlog
 
-from knapweeddock.gateway.catalog import Change, Item, Snapshot, Topic
+from knapweeddock.gateway.catalog import Change, Item, Topic
 from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.records import GatewayEntry, ServerEntry
+from knapweeddock.gateway.mirror import Update, changes_of
+from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.gateway.routes import RoutingConfig, Splits
 from knapweeddock.http1.server import ClientLimits
 from knapweeddock.ids import RegionId, VmId
@@ -49,28 +50,28 @@
         """Return the gateways that are registered in ``region``."""
         return [vm for vm, entry in self.gateways.items() if entry.region == region]
 
-    def take_snapshot(self, topic: Topic, snapshot: Snapshot, *, grace_s: float) -> None:
-        """Take a complete list of ``topic``.
+    def take(self, update: Update) -> None:
+        """Take changed objects."""
+        if update.whole:
+            self._replace(update)
+            return
+        for change in changes_of(update):
+            self._change(update.topic, change, grace_s=update.grace_s)
 
-        Args:
-            topic: The topic.
-            snapshot: The list.
-            grace_s: Time in seconds for which missing servers are kept.
-        """
-        match topic:
+    def _replace(self, update: Update) -> None:
+        items = update.items
+        match update.topic:
             case Topic.CONFIGURATION:
-                self._take_config(snapshot.items.get(CONFIGURATION_NAME))
+                self._take_config(items.get(CONFIGURATION_NAME))
             case Topic.SERVERS:
-                entries = [item for item in snapshot.items.values() if _is_server(item)]
-                self.fleet.replace_all(entries, self.clock(), grace_s=grace_s)
+                self.fleet.replace_all(items.values(), self.clock(), grace_s=update.grace_s)
             case Topic.EVACUATIONS:
-                self._evacuations = dict(snapshot.items)
+                self._evacuations = dict(items)
                 self._evacuate()
             case Topic.GATEWAYS:
-                self.gateways = {item.vm: item for item in snapshot.items.values()}
+                self.gateways = {item.vm: item for item in items.values()}
 
-    def take_change(self, topic: Topic, change: Change, *, grace_s: float) -> None:
-        """Take one changed object of ``topic``."""
+    def _change(self, topic: Topic, change: Change, *, grace_s: float) -> None:
         match topic:
             case Topic.CONFIGURATION if change.name == CONFIGURATION_NAME:
                 self._take_config(change.item)
@@ -109,7 +110,3 @@
 
     def _evacuate(self) -> None:
         self.fleet.evacuate(frozenset(self._evacuations.values()), self.clock())
-
-
-def _is_server(item: Item) -> bool:
-    return isinstance(item, ServerEntry)
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -2,11 +2,11 @@
 
 from knapweeddock.gateway.demand import Demand, RequestRate
 from knapweeddock.gateway.worktimes import WorkTimes
-from tests.gateway.support import SERVICE, fleet_of, route, server
+from tests.gateway.support import SERVICE, fleet_of, gateway, route, server
 from tests.gateway.test_peers import heartbeat
 
 
-def demand_of(*heartbeats) -> Demand:
+def demand_of(*heartbeats, gateways=()) -> Demand:
     fleet = fleet_of(server("near"), server("far", region="south", slots=30))
     work = WorkTimes()
     work.observe(route(), SERVICE, known=True, work_s=0.2)
@@ -16,6 +16,7 @@
         work=work,
         shift_bound=0.15,
         heartbeats=lambda: heartbeats,
+        gateways=lambda: gateways,
     )
 
 
@@ -64,3 +65,15 @@
     demand = demand_of()
     demand.plan(0.0)
     assert demand.shares() == {}
+
+
+def test_gateways_that_are_not_heard_count_like_those_of_their_region():
+    # A gateway hears only a few of the gateways of other regions in a large fleet.
+    registered = [gateway(f"f{index}", region="south") for index in range(20)]
+    demand = demand_of(
+        heartbeat("f1", region="south", work={SERVICE: 1.0}),
+        heartbeat("f2", region="south", work={SERVICE: 2.0}),
+        gateways=registered,
+    )
+    others = list(demand.heartbeats())
+    assert demand._work_of_regions(SERVICE, 4.0, others) == {"north": 4.0, "south": 30.0}
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -8,6 +8,7 @@
 from knapweeddock.gateway.catalog import MemoryCatalog, Topic
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.following import StoreFollower
+from knapweeddock.gateway.mirror import Mirror
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.view import View
 from tests.gateway.support import server
@@ -22,9 +23,11 @@
         self.catalog.put(Topic.CONFIGURATION, "main", RoutingConfig(version=1))
         self.catalog.put(Topic.SERVERS, "a", server("a"))
         self.view = View(fleet=Fleet())
+        self.mirror = Mirror()
+        self.mirror.listeners.append(self.view.take)
         self.follower = StoreFollower(
             catalog=self.catalog,
-            view=self.view,
+            mirror=self.mirror,
             silence_s=0.1,
             lapse_s=0.3,
             history_s=20.0,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -48,7 +48,7 @@
 
 def test_silent_gateway_is_not_alive():
     peers = peers_of("one")
-    peers.heard["two"] = Heard(heartbeat=heartbeat("two"), at=0.0)
+    peers.heard["two"] = Heard(heartbeat=heartbeat("two"), at=0.0, address=("10.0.0.3", 82))
     assert len(peers.alive(SILENT_S)) == 1
     assert peers.alive(SILENT_S + 0.1) == []
 
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,121 @@
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from knapweeddock.errors import MessageError, PeerUnavailable
+from knapweeddock.gateway import relay as relay_module
+from knapweeddock.gateway.catalog import Change, Changes, Snapshot, Topic
+from knapweeddock.gateway.mirror import Mirror, Update
+from knapweeddock.gateway.relay import LENGTH, Pulse, RelayServer, decode, encode, subscribe
+from knapweeddock.gateway.routes import RoutingConfig, ServicePolicy
+from tests.gateway.support import SERVICE, gateway, route, server
+from tests.waiting import until
+
+CONFIG = RoutingConfig(
+    version=7,
+    routes=(route(regions=frozenset({"north"})),),
+    services={SERVICE: ServicePolicy(service=SERVICE, warmup_s=3.0)},
+)
+
+
+def full_mirror() -> Mirror:
+    mirror = Mirror()
+    contents = {
+        Topic.CONFIGURATION: {"main": CONFIG},
+        Topic.SERVERS: {"a": server("a")},
+        Topic.EVACUATIONS: {"north-b": "north-b"},
+        Topic.GATEWAYS: {"vm": gateway("vm")},
+    }
+    for topic, items in contents.items():
+        mirror.replace(topic, Snapshot(items=items, revision=10), grace_s=0.0)
+    return mirror
+
+
+@contextlib.asynccontextmanager
+async def relayed(monkeypatch) -> AsyncIterator[tuple[RelayServer, tuple[str, int]]]:
+    monkeypatch.setattr(relay_module, "PULSE_S", 0.02)
+    monkeypatch.setattr(relay_module, "SILENT_S", 0.2)
+    relay = RelayServer(mirror=full_mirror(), connected=lambda: relay.store_connected)
+    relay.store_connected = True
+    relay.serving = True
+    listener = await asyncio.start_server(relay.accept, "127.0.0.1", 0)
+    pulses = asyncio.create_task(relay.run())
+    try:
+        yield relay, listener.sockets[0].getsockname()[:2]
+    finally:
+        pulses.cancel()
+        relay.stop()
+        listener.close()
+
+
+@contextlib.asynccontextmanager
+async def subscribed(address) -> AsyncIterator[tuple[Mirror, asyncio.Task[None]]]:
+    mirror = Mirror()
+    pulses: list[bool] = []
+    task = asyncio.create_task(subscribe(mirror, address, on_pulse=lambda: pulses.append(True)))
+    try:
+        await until(lambda: pulses or task.done())
+        yield mirror, task
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.parametrize("topic", list(Topic))
+def test_every_topic_survives_encoding(topic):
+    update = full_mirror().whole(topic)
+    assert decode(encode(update)[LENGTH.size :]) == update
+
+
+def test_pulse_and_removal_survive_encoding():
+    removal = Update(topic=Topic.SERVERS, whole=False, items={"a": None}, revision=3)
+    for message in (Pulse(connected=False), removal):
+        assert decode(encode(message)[LENGTH.size :]) == message
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x81\xa4type\xa5other", encode(CONFIG)[4:]])
+def test_anything_else_is_refused(data):
+    with pytest.raises(MessageError):
+        decode(data)
+
+
+async def test_subscriber_gets_everything_and_then_the_changes(monkeypatch):
+    async with relayed(monkeypatch) as (relay, address), subscribed(address) as (mirror, _):
+        assert mirror.items == relay.mirror.items
+        removal = Changes(changes=[Change(name="a", item=None)], revision=11)
+        relay.mirror.apply(Topic.SERVERS, removal, grace_s=0.0)
+        await until(lambda: not mirror.items[Topic.SERVERS])
+
+
+async def test_subscriber_leaves_a_relay_that_has_lost_the_store(monkeypatch):
+    async with relayed(monkeypatch) as (relay, address), subscribed(address) as (mirror, task):
+        relay.store_connected = False
+        with pytest.raises(PeerUnavailable):
+            await task
+        assert mirror.is_complete
+
+
+async def test_subscriber_leaves_a_silent_relay(monkeypatch):
+    # A frozen relay keeps its connections open; only the missing pulses show it.
+    async with relayed(monkeypatch) as (relay, address), subscribed(address) as (_, task):
+        monkeypatch.setattr(relay_module, "PULSE_S", 60.0)
+        with pytest.raises(PeerUnavailable):
+            await task
+        assert relay.serving
+
+
+async def test_gateway_that_does_not_watch_the_store_accepts_nobody(monkeypatch):
+    async with relayed(monkeypatch) as (relay, address):
+        relay.stop()
+        with pytest.raises(PeerUnavailable):
+            await subscribe(Mirror(), address, on_pulse=lambda: None)
+
+
+async def test_subscribers_are_sent_away_when_the_relay_stops(monkeypatch):
+    async with relayed(monkeypatch) as (relay, address), subscribed(address) as (_, task):
+        assert relay.subscribers == 1
+        relay.stop()
+        with pytest.raises(PeerUnavailable):
+            await task
--- /dev/null
+++ b/tests/gateway/test_sourcing.py
@@ -0,0 +1,154 @@
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator
+
+from knapweeddock.gateway import following, sourcing
+from knapweeddock.gateway.catalog import MemoryCatalog, Topic
+from knapweeddock.gateway.following import StoreFollower
+from knapweeddock.gateway.mirror import Mirror
+from knapweeddock.gateway.relay import RelayServer, relay_port
+from knapweeddock.gateway.routes import RoutingConfig
+from knapweeddock.gateway.sourcing import RELAYS, StoreSource, relays
+from tests.platform.world import free_port
+from tests.waiting import until
+
+NAMES = [f"vm-{index}" for index in range(5)]
+
+
+def test_all_gateways_of_a_region_name_the_same_relays():
+    assert relays("north", NAMES) == relays("north", list(reversed(NAMES)))
+    assert len(relays("north", NAMES)) == RELAYS
+
+
+def test_small_regions_watch_by_themselves():
+    assert relays("north", ["a", "b"]) == ["a", "b"]
+
+
+def test_next_gateway_follows_when_a_relay_is_gone():
+    first, second = relays("north", NAMES)
+    rest = [name for name in NAMES if name != first]
+    assert relays("north", rest)[0] == second
+
+
+class Member:
+    """A gateway that shares a catalog with others."""
+
+    def __init__(self, vm: str, region: "Region") -> None:
+        self.vm = vm
+        self.address = ("127.0.0.1", free_port())
+        self.mirror = Mirror()
+        self.follower = StoreFollower(
+            catalog=region.catalog,
+            mirror=self.mirror,
+            silence_s=0.2,
+            lapse_s=0.0,
+            history_s=20.0,
+            rng=random.Random(1),
+        )
+        self.relay = RelayServer(mirror=self.mirror, connected=lambda: self.source.connected)
+        self.source = StoreSource(
+            vm=vm,
+            region="north",
+            mirror=self.mirror,
+            follower=self.follower,
+            relay=self.relay,
+            alive=lambda: sorted(region.members),
+            address_of=lambda vm: region.members[vm].address if vm in region.members else None,
+            rng=random.Random(1),
+        )
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        async with relay_port(self.relay, self.address), asyncio.TaskGroup() as group:
+            group.create_task(self.source.run())
+            group.create_task(self.relay.run())
+
+    def version(self) -> int:
+        config = self.mirror.items[Topic.CONFIGURATION].get("main")
+        return config.version if config else 0
+
+
+class Region:
+    """Members by name; one that is stopped is removed."""
+
+    def __init__(self) -> None:
+        self.catalog = MemoryCatalog()
+        self.members: dict[str, Member] = {}
+        self.set_version(1)
+
+    def set_version(self, version: int) -> None:
+        self.catalog.put(Topic.CONFIGURATION, "main", RoutingConfig(version=version))
+
+    def direct(self) -> list[str]:
+        return [vm for vm, member in self.members.items() if member.source.direct]
+
+    async def stop(self, vm: str) -> None:
+        member = self.members.pop(vm)
+        member.task.cancel()
+        await asyncio.gather(member.task, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def region_of(monkeypatch, names=NAMES) -> AsyncIterator[Region]:
+    monkeypatch.setattr(following, "BATCH_S", dict.fromkeys(Topic, 0.0))
+    monkeypatch.setattr(sourcing, "FIRST_CHOICE_S", 0.05)
+    monkeypatch.setattr(sourcing, "HOLD_S", 0.2)
+    region = Region()
+    for vm in names:
+        region.members[vm] = Member(vm, region)
+    try:
+        await until(lambda: len(region.direct()) == 1)
+        yield region
+    finally:
+        for vm in list(region.members):
+            await region.stop(vm)
+
+
+def all_at(region: Region, version: int) -> bool:
+    return all(member.version() == version for member in region.members.values())
+
+
+async def test_change_reaches_those_that_do_not_watch(monkeypatch):
+    async with region_of(monkeypatch) as region:
+        region.set_version(2)
+        await until(lambda: all_at(region, 2))
+        assert region.direct() == relays("north", NAMES)[:1]
+
+
+async def test_loss_of_both_relays_is_made_up_for(monkeypatch):
+    async with region_of(monkeypatch) as region:
+        for vm in relays("north", NAMES):
+            await region.stop(vm)
+        region.set_version(2)
+        await until(lambda: all_at(region, 2))
+
+
+async def test_second_relay_takes_over_without_a_watch_by_everybody(monkeypatch):
+    # The loss of the first must not make every gateway of the region call the store.
+    async with region_of(monkeypatch) as region:
+        first, second = relays("north", NAMES)
+        await region.stop(first)
+        region.set_version(2)
+        await until(lambda: all_at(region, 2))
+        assert region.direct() == [second]
+
+
+async def test_relays_that_lose_the_store_do_not_cut_off_the_others(monkeypatch):
+    # The store turns single machines away; the others reach it by themselves.
+    async with region_of(monkeypatch) as region:
+        for vm in relays("north", NAMES):
+            region.members[vm].follower.catalog = MemoryCatalog()
+            region.members[vm].follower.catalog.down = True
+        region.catalog.break_watches()
+        region.set_version(2)
+        others = [vm for vm in NAMES if vm not in relays("north", NAMES)]
+        await until(lambda: all(region.members[vm].version() == 2 for vm in others))
+
+
+async def test_gateway_that_starts_while_the_store_is_away_learns_from_the_others(monkeypatch):
+    async with region_of(monkeypatch) as region:
+        region.catalog.down = True
+        region.catalog.break_watches()
+        region.members["late"] = Member("late", region)
+        await until(lambda: region.members["late"].version() == 1)
