--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -9,7 +9,7 @@
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.peers import Heartbeat
 from knapweeddock.gateway.records import GatewayEntry
-from knapweeddock.gateway.spill import Shares, SpillShares, divide
+from knapweeddock.gateway.spill import RegionLoad, Shares, SpillShares, divide
 from knapweeddock.gateway.worktimes import WorkTimes
 from knapweeddock.ids import RegionId, ServiceId
 
@@ -96,16 +96,12 @@
 
     def plan(self, now: float) -> None:
         """Let the shares follow the work and the slots of all regions."""
-        own = self.own_work(now)
         others = list(self.heartbeats())
         for service in self.fleet.services():
             rate = self._rates.get(service)
             if rate is None or now - rate.first_at < FIRST_GOAL_S:
                 continue
-            work = self._work_of_regions(service, own.get(service, 0.0), others)
-            slots = {
-                region: self.fleet.slots(service, region) for region in self.fleet.regions(service)
-            }
+            loads = self._loads(service, now, others)
             spill = self.spills.get(service)
             if spill is None:
                 spill = SpillShares(
@@ -115,24 +111,37 @@
                     first_step=self.first_step,
                 )
                 self.spills[service] = spill
-            spill.follow(divide(self.region, work, slots), now)
-            self._report(service, spill, work, slots)
+            spill.follow(divide(self.region, loads), now)
+            self._report(service, spill, loads)
 
-    def _work_of_regions(
-        self, service: ServiceId, own: float, others: list[Heartbeat]
-    ) -> dict[RegionId, float]:
-        """Return the work of all gateways of each region.
+    def own_objects(self, now: float) -> dict[ServiceId, int]:
+        """Return how many objects this gateway's requests concern, by service."""
+        return {service: self.work.objects(service, now) for service in self._rates}
+
+    def _loads(
+        self, service: ServiceId, now: float, others: list[Heartbeat]
+    ) -> dict[RegionId, RegionLoad]:
+        """Return the load of each region.
 
         In a large fleet only some gateways are heard; the others of their region
-        are taken to have as much work.
+        are taken to have as much work. Each gateway sees most of its region's
+        objects, so that the largest number is closest.
         """
-        heard: dict[RegionId, list[float]] = {self.region: [own]}
+        work = {self.region: [self.own_work(now).get(service, 0.0)]}
+        objects = {self.region: self.own_objects(now).get(service, 0)}
         for heartbeat in others:
-            heard.setdefault(heartbeat.region, []).append(heartbeat.work.get(service, 0.0))
+            region = heartbeat.region
+            work.setdefault(region, []).append(heartbeat.work.get(service, 0.0))
+            objects[region] = max(objects.get(region, 0), heartbeat.objects.get(service, 0))
         registered = Counter(entry.region for entry in self.gateways())
         return {
-            region: round(sum(work) / len(work) * max(len(work), registered[region]), 2)
-            for region, work in heard.items()
+            region: RegionLoad(
+                work=_sum_of(work.get(region, []), registered[region]),
+                objects=objects.get(region, 0),
+                slots=self.fleet.slots(service, region),
+                servers=len(self.fleet.group(service, region)),
+            )
+            for region in {*work, *self.fleet.regions(service)}
         }
 
     def shares(self) -> dict[ServiceId, Shares]:
@@ -156,11 +165,7 @@
         return total
 
     def _report(
-        self,
-        service: ServiceId,
-        spill: SpillShares,
-        work: dict[RegionId, float],
-        slots: dict[RegionId, int],
+        self, service: ServiceId, spill: SpillShares, loads: dict[RegionId, RegionLoad]
     ) -> None:
         """Log the shares when they have changed visibly."""
         shares = {region: round(share, 1) for region, share in spill.current.items()}
@@ -168,5 +173,16 @@
             return
         self._reported[service] = shares
         log.info(
-            "shares of regions changed", service=service, shares=shares, work=work, slots=slots
+            "shares of regions changed",
+            service=service,
+            shares=shares,
+            work={region: load.work for region, load in loads.items()},
+            objects={region: load.objects for region, load in loads.items()},
+            slots={region: load.slots for region, load in loads.items()},
         )
+
+
+def _sum_of(heard: list[float], registered: int) -> float:
+    if not heard:
+        return 0.0
+    return round(sum(heard) / len(heard) * max(len(heard), registered), 2)
--- a/knapweeddock/gateway/mirror.py
+++ b/knapweeddock/gateway/mirror.py
@@ -80,6 +80,9 @@
         known = self.revisions.get(update.topic)
         if known is not None and update.revision < known + (not update.whole):
             return
+        self.revisions[update.topic] = update.revision
+        if update.whole and known is not None and update.items == self.items[update.topic]:
+            return
         if update.whole:
             self.items[update.topic].clear()
         for name, item in update.items.items():
@@ -87,7 +90,6 @@
                 self.items[update.topic].pop(name, None)
             else:
                 self.items[update.topic][name] = item
-        self.revisions[update.topic] = update.revision
         if update.whole or update.items:
             for listener in self.listeners:
                 listener(update)
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -44,6 +44,7 @@
         phase: Whether it takes new clients.
         region: Its region.
         work: Slots that its clients keep busy, by service.
+        objects: Objects that its clients' requests concern, by service.
         shares: Part of its requests that runs in each region, by service.
     """
 
@@ -52,6 +53,7 @@
     phase: GatewayPhase
     region: RegionId
     work: dict[ServiceId, float]
+    objects: dict[ServiceId, int]
     shares: dict[ServiceId, dict[RegionId, float]]
 
 
--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -16,18 +16,14 @@
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.shiftlimit import ShiftLimit
-from knapweeddock.gateway.spill import SpillShares
+from knapweeddock.gateway.spill import KEPT_OBJECTS, SpillShares
 from knapweeddock.gateway.worktimes import WorkTimes
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
 from knapweeddock.rendezvous import HASH_RANGE, hash_parts
 
-MAX_HOMES = 3
+MAX_HOMES = 2
 """Largest number of servers of a region that an object is sent to."""
 
-KEPT_OBJECTS = 16
-"""Objects that a server is assumed to know at a time. With more, each one pushes
-out another before it comes again, and every request is dear."""
-
 OTHER_REGION_DELAY_S = 0.026
 """Round trip in seconds to another region that is assumed in comparisons."""
 
@@ -252,7 +248,7 @@
         More homes even out the load, but each server then has to know more objects.
         """
         objects = max(1, self.work.objects(service, now))
-        return max(1, min(MAX_HOMES, KEPT_OBJECTS * servers // objects))
+        return max(1, min(MAX_HOMES, round(KEPT_OBJECTS * servers / objects)))
 
     def _may_send(self, server: ServerState, request: PlacementRequest, now: float) -> bool:
         if server.entry.server in request.tried or not server.standing.is_usable():
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -292,6 +292,7 @@
             phase=self.phase,
             region=self.settings.region,
             work=self.demand.own_work(time.monotonic()),
+            objects=self.demand.own_objects(time.monotonic()),
             shares=self.demand.shares(),
         )
 
--- a/knapweeddock/gateway/sourcing.py
+++ b/knapweeddock/gateway/sourcing.py
@@ -34,12 +34,13 @@
 def relays(region: RegionId, alive: Collection[VmId]) -> list[VmId]:
     """Return the gateways of ``region`` that pass changes on, the first one first.
 
+    Gateways that know of different others still agree on the order of any two, so
+    that no two of them take changes from each other.
+
     Args:
         region: The region.
         alive: Its gateways that live, the asking one included.
     """
-    if len(alive) < MIN_REGION:
-        return sorted(alive)
     return weighted_order(f"watch {region}", dict.fromkeys(alive, 1.0))[:RELAYS]
 
 
@@ -95,9 +96,7 @@
             if self.vm not in chosen:
                 self.relay.stop()
             self.relay.serving = self.vm in chosen
-            for vm in chosen:
-                if vm == self.vm:
-                    break
+            for vm in self._before(chosen):
                 await self._take_from(vm)
             await self._watch_directly()
 
@@ -130,10 +129,17 @@
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
 
+    def _before(self, chosen: list[VmId]) -> list[VmId]:
+        """Return the relays from which this gateway may take changes, in their order."""
+        if len(self.alive()) < MIN_REGION:
+            return []
+        if self.vm in chosen:
+            return chosen[: chosen.index(self.vm)]
+        return chosen
+
     def _may_step_down(self) -> bool:
-        chosen = relays(self.region, self.alive())
-        others_first = len(self.alive()) >= MIN_REGION and chosen[0] != self.vm
-        return others_first and self.follower.connected and self.mirror.is_complete
+        others = self._before(relays(self.region, self.alive()))
+        return bool(others) and self.follower.connected and self.mirror.is_complete
 
     async def _take_from(self, vm: VmId) -> None:
         """Take changes from ``vm`` for as long as it has them."""
--- a/knapweeddock/gateway/spill.py
+++ b/knapweeddock/gateway/spill.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from knapweeddock.ids import RegionId
 
@@ -14,6 +15,10 @@
 """Busy part of a region's slots above which requests move to other regions. Shares
 move slowly, so they have to move long before the region is full."""
 
+KEPT_OBJECTS = 12
+"""Objects that a server is assumed to know at a time. With more, each one pushes
+out another before it comes again, and every request is dear."""
+
 MAX_STEP_S = 0.5
 """Longest time in seconds that one step of the shares accounts for."""
 
@@ -21,40 +26,69 @@
 """Part of a region's requests that runs in each region; they add up to 1."""
 
 
-def divide(
-    origin: RegionId, work: Mapping[RegionId, float], slots: Mapping[RegionId, int]
-) -> Shares:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RegionLoad:
+    """Load and servers of one region.
+
+    Attributes:
+        work: Slots that the requests of the region's callers keep busy.
+        objects: Objects that these requests concern.
+        slots: Slots of the region's usable servers.
+        servers: Number of these servers.
+    """
+
+    work: float = 0.0
+    objects: int = 0
+    slots: int = 0
+    servers: int = 0
+
+    def kept_part(self, load: float) -> float:
+        """Return the part of the region's own requests that its servers can take.
+
+        Args:
+            load: Busy part of the slots that is aimed at.
+        """
+        by_slots = load * self.slots / self.work if self.work > 0 else 1.0
+        places = KEPT_OBJECTS * self.servers
+        by_objects = places / self.objects if self.objects > 0 else 1.0
+        return min(1.0, by_slots, by_objects)
+
+
+def divide(origin: RegionId, loads: Mapping[RegionId, RegionLoad]) -> Shares:
     """Return where the requests of ``origin`` should run.
 
     Args:
         origin: Region of the callers.
-        work: Slots that the requests of each region's callers keep busy.
-        slots: Slots of the usable servers of each region.
+        loads: Load of each region that has callers or servers.
     """
-    total_slots = sum(slots.values())
-    if total_slots == 0:
+    slots = sum(load.slots for load in loads.values())
+    own = loads.get(origin, RegionLoad())
+    if slots == 0:
         return {origin: 1.0}
     # With too few slots everywhere, all regions are loaded alike.
-    load = max(TARGET_LOAD, sum(work.values()) / total_slots)
-    spare = {
-        region: max(0.0, load * count - work.get(region, 0.0)) for region, count in slots.items()
+    target = max(TARGET_LOAD, sum(load.work for load in loads.values()) / slots)
+    room = {
+        region: max(0.0, target * load.slots - load.work)
+        for region, load in loads.items()
+        if region != origin
     }
-    own = work.get(origin, 0.0)
-    excess = max(0.0, own - load * slots.get(origin, 0))
-    room = sum(spare.values())
-    if slots.get(origin, 0) == 0:
-        weights = spare if room > 0 else {region: float(n) for region, n in slots.items()}
-        scale = sum(weights.values())
-        return {region: weight / scale for region, weight in weights.items() if weight > 0}
-    if excess <= 0 or own <= 0 or room <= 0:
+    if own.slots == 0:
+        with_servers = {region: float(load.slots) for region, load in loads.items() if load.slots}
+        return _in_proportion(room if sum(room.values()) > 0 else with_servers)
+    kept = own.kept_part(target)
+    if kept >= 1.0 or own.work <= 0 or sum(room.values()) <= 0:
         return {origin: 1.0}
-    shares = {origin: 1.0 - excess / own}
-    for region, free in spare.items():
-        if free > 0:
-            shares[region] = shares.get(region, 0.0) + excess / own * free / room
+    away = min(1.0 - kept, sum(room.values()) / own.work)
+    shares = {region: away * part for region, part in _in_proportion(room).items()}
+    shares[origin] = 1.0 - away
     return shares
 
 
+def _in_proportion(weights: Mapping[RegionId, float]) -> Shares:
+    total = sum(weights.values())
+    return {region: weight / total for region, weight in weights.items() if weight > 0}
+
+
 class SpillShares:
     """Shares of one service that follow their goal at a bounded rate.
 
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -76,4 +76,6 @@
         gateways=registered,
     )
     others = list(demand.heartbeats())
-    assert demand._work_of_regions(SERVICE, 4.0, others) == {"north": 4.0, "south": 30.0}
+    loads = demand._loads(SERVICE, 0.0, others)
+    assert loads["south"].work == 30.0
+    assert loads["south"].objects == 40
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -42,6 +42,15 @@
     assert list(mirror.items[Topic.SERVERS]) == ["b"]
 
 
+def test_list_that_is_known_already_is_not_passed_on():
+    # Gateways that pass lists on to each other would send them forever.
+    mirror = filled()
+    heard: list[Update] = []
+    mirror.listeners.append(heard.append)
+    mirror.take(mirror.whole(Topic.SERVERS))
+    assert heard == []
+
+
 def test_mirror_is_complete_when_every_topic_was_read():
     mirror = filled()
     assert not mirror.is_complete
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -20,6 +20,7 @@
         "phase": GatewayPhase.SERVING,
         "region": "north",
         "work": {"ledger": 1.5},
+        "objects": {"ledger": 40},
         "shares": {},
     }
     return Heartbeat(**{**values, **changes})
--- a/tests/gateway/test_sourcing.py
+++ b/tests/gateway/test_sourcing.py
@@ -3,6 +3,9 @@
 import random
 from collections.abc import AsyncIterator
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from knapweeddock.gateway import following, sourcing
 from knapweeddock.gateway.catalog import MemoryCatalog, Topic
 from knapweeddock.gateway.following import StoreFollower
@@ -10,6 +13,7 @@
 from knapweeddock.gateway.relay import RelayServer, relay_port
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.sourcing import RELAYS, StoreSource, relays
+from knapweeddock.rendezvous import weighted_order
 from tests.platform.world import free_port
 from tests.waiting import until
 
@@ -21,8 +25,22 @@
     assert len(relays("north", NAMES)) == RELAYS
 
 
-def test_small_regions_watch_by_themselves():
-    assert relays("north", ["a", "b"]) == ["a", "b"]
+@given(
+    first=st.sets(st.sampled_from(NAMES), min_size=1),
+    second=st.sets(st.sampled_from(NAMES), min_size=1),
+)
+def test_gateways_that_know_of_different_others_agree_on_the_order(first, second):
+    # Two relays that took changes from each other would hear of no change at all.
+    order = weighted_order("watch north", dict.fromkeys(NAMES, 1.0))
+    for alive in (first, second):
+        assert relays("north", alive) == [vm for vm in order if vm in alive][:RELAYS]
+
+
+async def test_small_regions_watch_by_themselves(monkeypatch):
+    async with region_of(monkeypatch, names=NAMES[:2], watching=2) as region:
+        region.set_version(2)
+        await until(lambda: all_at(region, 2))
+        assert len(region.direct()) == 2
 
 
 def test_next_gateway_follows_when_a_relay_is_gone():
@@ -90,7 +108,7 @@
 
 
 @contextlib.asynccontextmanager
-async def region_of(monkeypatch, names=NAMES) -> AsyncIterator[Region]:
+async def region_of(monkeypatch, names=NAMES, watching=1) -> AsyncIterator[Region]:
     monkeypatch.setattr(following, "BATCH_S", dict.fromkeys(Topic, 0.0))
     monkeypatch.setattr(sourcing, "FIRST_CHOICE_S", 0.05)
     monkeypatch.setattr(sourcing, "HOLD_S", 0.2)
@@ -98,7 +116,7 @@
     for vm in names:
         region.members[vm] = Member(vm, region)
     try:
-        await until(lambda: len(region.direct()) == 1)
+        await until(lambda: len(region.direct()) == watching)
         yield region
     finally:
         for vm in list(region.members):
--- a/tests/gateway/test_spill.py
+++ b/tests/gateway/test_spill.py
@@ -2,32 +2,54 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweeddock.gateway.spill import TARGET_LOAD, SpillShares, divide
+from knapweeddock.gateway.spill import (
+    KEPT_OBJECTS,
+    TARGET_LOAD,
+    RegionLoad,
+    SpillShares,
+    divide,
+)
 
 REGIONS = ["east", "north", "south"]
 
 
+def loads(work: dict[str, float], slots: dict[str, int]) -> dict[str, RegionLoad]:
+    return {
+        region: RegionLoad(
+            work=work.get(region, 0.0), slots=slots.get(region, 0), servers=slots.get(region, 0)
+        )
+        for region in {*work, *slots}
+    }
+
+
 def test_region_with_enough_servers_keeps_its_requests():
-    shares = divide("north", {"north": 3.0, "south": 3.0}, {"north": 12, "south": 12})
-    assert shares == {"north": 1.0}
+    found = divide("north", loads({"north": 3.0, "south": 3.0}, {"north": 12, "south": 12}))
+    assert found == {"north": 1.0}
 
 
 def test_excess_goes_where_there_is_room():
     # The daily peak of a region with few servers; the others are nearly idle.
     slots = {"north": 12, "south": 48, "east": 36}
-    shares = divide("north", {"north": 12.0, "south": 5.0, "east": 5.0}, slots)
+    shares = divide("north", loads({"north": 12.0, "south": 5.0, "east": 5.0}, slots))
     assert shares["north"] == pytest.approx(TARGET_LOAD * 12 / 12.0)
     assert shares["south"] > shares["east"] > 0
     assert sum(shares.values()) == pytest.approx(1.0)
 
 
+def test_objects_that_the_servers_cannot_keep_go_elsewhere():
+    # Few servers with room for fewer objects than come would work on each as a new one.
+    crowded = RegionLoad(work=5.0, objects=400, slots=39, servers=13)
+    empty = RegionLoad(work=5.0, objects=100, slots=192, servers=64)
+    shares = divide("north", {"north": crowded, "south": empty})
+    assert shares["north"] == pytest.approx(KEPT_OBJECTS * 13 / 400)
+
+
 def test_region_without_servers_sends_everything_away():
-    shares = divide("north", {"north": 5.0}, {"south": 12})
-    assert shares == {"south": 1.0}
+    assert divide("north", loads({"north": 5.0}, {"south": 12})) == {"south": 1.0}
 
 
 def test_nothing_known_keeps_requests_at_home():
-    assert divide("north", {}, {}) == {"north": 1.0}
+    assert divide("north", {}) == {"north": 1.0}
 
 
 @given(
@@ -37,7 +59,7 @@
 def test_all_regions_are_loaded_alike_when_slots_are_short(work, slots):
     load = {region: 0.0 for region in REGIONS}
     for origin, amount in work.items():
-        shares = divide(origin, work, slots)
+        shares = divide(origin, loads(work, slots))
         assert sum(shares.values()) == pytest.approx(1.0)
         for region, share in shares.items():
             load[region] += share * amount
