--- a/knapweeddock/cli.py
+++ b/knapweeddock/cli.py
@@ -22,7 +22,7 @@
 from knapweeddock.errors import ConfigError, KnapweedError
 from knapweeddock.explain import Request
 from knapweeddock.httpstore import HttpObjectStore
-from knapweeddock.ids import FailureDomainId, ServerId, SiteId, Version, VmId
+from knapweeddock.ids import FailureDomainId, RequestId, ServerId, SiteId, Version, VmId
 from knapweeddock.objectstore import ObjectStore
 from knapweeddock.porcelain import Session
 from knapweeddock.render import render
@@ -202,14 +202,16 @@
 @app.command
 def explain(
     *,
-    client: str,
-    host: str,
+    client: str = "",
+    host: str = "",
     method: str = "GET",
     path: str = "/",
     folder: Path | None = None,
+    request: str = "",
+    logs: list[Path] | None = None,
     connection: Connection = DEFAULT_CONNECTION,
 ) -> int:
-    """Explain where a caller's request would go and why.
+    """Explain where a caller's request would go, or what became of a past one, and why.
 
     Args:
         client: IP address of the caller.
@@ -217,12 +219,16 @@
         method: HTTP method.
         path: Path of the request.
         folder: Configuration folder to use in place of the platform's configuration.
+        request: Identifier of a past request whose story the logs tell.
+        logs: Log files of the gateways.
         connection: Which system the command works on.
     """
-    request = Request(client=client, host=host, method=method.upper(), path=path)
+    if request:
+        return _run(porcelain.tell_story(RequestId(request), logs or []), connection)
+    wanted = Request(client=client, host=host, method=method.upper(), path=path)
     if folder is not None:
-        return _run(porcelain.explain(None, request, directory=folder), connection)
-    return _run_session(connection, lambda session: porcelain.explain(session, request))
+        return _run(porcelain.explain(None, wanted, directory=folder), connection)
+    return _run_session(connection, lambda session: porcelain.explain(session, wanted))
 
 
 def _run_session(connection: Connection, operation: Callable[[Session], Awaitable[Report]]) -> int:
--- a/knapweeddock/porcelain.py
+++ b/knapweeddock/porcelain.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from knapweeddock import base as bases
-from knapweeddock import changes
+from knapweeddock import changes, requeststory
 from knapweeddock.base import Base
 from knapweeddock.blockstore import ChunkWriter
 from knapweeddock.changes import Document
@@ -27,7 +27,7 @@
 from knapweeddock.explain import Explanation, Request, explain_request
 from knapweeddock.folder import Folder, read_folder
 from knapweeddock.headstore import fetch_document, read_head
-from knapweeddock.ids import Version
+from knapweeddock.ids import RequestId, Version
 from knapweeddock.model import Config
 from knapweeddock.moves import check_moves
 from knapweeddock.objectstore import ObjectStore
@@ -40,6 +40,7 @@
     InForce,
     StatusReport,
 )
+from knapweeddock.requeststory import RequestStory
 from knapweeddock.statusclient import MemberStatus, StatusSource, SystemStatus
 
 POLL_INTERVAL_S = 0.25
@@ -232,6 +233,15 @@
     )
 
 
+async def tell_story(request: RequestId, logs: Sequence[Path]) -> RequestStory:
+    """Return what the gateways' logs say about a past request.
+
+    Raises:
+        ConfigError: A log cannot be read, or none concerns the request.
+    """
+    return requeststory.tell(request, requeststory.read_lines(logs))
+
+
 async def explain(
     session: Session | None, request: Request, *, directory: Path | None = None
 ) -> Explanation:
--- a/knapweeddock/render.py
+++ b/knapweeddock/render.py
@@ -16,6 +16,7 @@
     Report,
     StatusReport,
 )
+from knapweeddock.requeststory import RequestStory
 from knapweeddock.statusclient import MemberStatus
 
 MAX_PATCH_LINES = 200
@@ -35,6 +36,8 @@
             yield from _status_lines(report)
         case Explanation():
             yield from _explanation_lines(report)
+        case RequestStory():
+            yield from _story_lines(report)
         case ErrorReport():
             yield from _error_lines(report)
 
@@ -188,6 +191,19 @@
         yield f"refused: {int(report.code)} {report.code.name}: {CODE_INFO[report.code].meaning}"
 
 
+def _story_lines(story: RequestStory) -> Iterator[str]:
+    yield f"request {story.request} at {story.vm}"
+    for title, lines in (
+        ("what the gateway believed", story.beliefs),
+        ("servers that were tried", story.servers),
+        ("the request", story.steps),
+    ):
+        if lines:
+            yield f"{title}:"
+        for line in lines:
+            yield f"  {line.at} {line.event}: {line.text()}"
+
+
 def _delay(delay_ms: float | None) -> str:
     return "delay unknown" if delay_ms is None else f"{delay_ms:g} ms"
 
--- a/knapweeddock/reports.py
+++ b/knapweeddock/reports.py
@@ -8,6 +8,7 @@
 from knapweeddock.explain import Explanation
 from knapweeddock.ids import ChangeId, Version
 from knapweeddock.model import Drains
+from knapweeddock.requeststory import RequestStory
 from knapweeddock.statusclient import MemberStatus
 
 
@@ -150,4 +151,12 @@
     others: list[Change] = field(default_factory=list)
 
 
-Report = CheckReport | ChangeReport | DiffReport | StatusReport | Explanation | ErrorReport
+Report = (
+    CheckReport
+    | ChangeReport
+    | DiffReport
+    | StatusReport
+    | Explanation
+    | RequestStory
+    | ErrorReport
+)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -148,3 +148,17 @@
     assert json.loads(found.stdout)["counts"]["servers"] == 3
     found = subprocess.run([*command, "--help"], capture_output=True, check=True, text=True)
     assert "undrain" in found.stdout
+
+
+def test_explain_tells_the_story_of_a_past_request(tmp_path, capsys):
+    log = tmp_path / "gateways.log"
+    log.write_text('{"event": "request refused", "request": "q1", "vm": "v1", "reason": "shed"}\n')
+    assert cli.main(["explain", "--request", "q1", "--logs", str(log)]) == 0
+    assert "request refused: request=q1 reason=shed" in capsys.readouterr().out
+
+
+def test_explain_of_an_unknown_request_is_an_error(tmp_path, capsys):
+    log = tmp_path / "gateways.log"
+    log.write_text("")
+    assert cli.main(["explain", "--request", "q1", "--logs", str(log)]) == 3
+    assert "no line of the logs concerns request q1" in capsys.readouterr().err
