--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -9,7 +9,7 @@
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.peers import Heartbeat
 from knapweeddock.gateway.records import GatewayEntry
-from knapweeddock.gateway.spill import RegionLoad, Shares, SpillShares, divide
+from knapweeddock.gateway.spill import RegionLoad, Shares, SpillShares, assume, divide
 from knapweeddock.gateway.worktimes import WorkTimes
 from knapweeddock.ids import RegionId, ServiceId
 
@@ -22,9 +22,6 @@
 """Part of the bound on shifts, given for two seconds, that shares move per second;
 single requests that move besides and the noise of short windows need the rest."""
 
-FIRST_STEP_PART = 0.5
-"""Part of the bound on shifts that shares move at once at the start of traffic."""
-
 FIRST_GOAL_S = 0.7
 """Time in seconds of traffic after which the first shares are set."""
 
@@ -72,7 +69,6 @@
         self.fleet = fleet
         self.work = work
         self.rate_per_s = SHIFT_PART * shift_bound
-        self.first_step = FIRST_STEP_PART * shift_bound
         self.heartbeats = heartbeats
         self.gateways = gateways
         self.spills: dict[ServiceId, SpillShares] = {}
@@ -98,21 +94,18 @@
         """Let the shares follow the work and the slots of all regions."""
         others = list(self.heartbeats())
         for service in self.fleet.services():
-            rate = self._rates.get(service)
-            if rate is None or now - rate.first_at < FIRST_GOAL_S:
-                continue
             loads = self._loads(service, now, others)
             spill = self.spills.get(service)
             if spill is None:
-                spill = SpillShares(
-                    origin=self.region,
-                    rate_per_s=self.rate_per_s,
-                    first=self._shares_of_others(service, others),
-                    first_step=self.first_step,
-                )
+                spill = SpillShares(origin=self.region, rate_per_s=self.rate_per_s)
                 self.spills[service] = spill
-            spill.follow(divide(self.region, loads), now)
-            self._report(service, spill, loads)
+            rate = self._rates.get(service)
+            if rate is None:
+                found = self._shares_of_others(service, others)
+                spill.begin(found or assume(self.region, loads))
+            elif now - rate.first_at >= FIRST_GOAL_S:
+                spill.follow(divide(self.region, loads), now)
+                self._report(service, spill, loads)
 
     def own_objects(self, now: float) -> dict[ServiceId, int]:
         """Return how many objects this gateway's requests concern, by service."""
@@ -152,11 +145,16 @@
         }
 
     def _shares_of_others(self, service: ServiceId, others: list[Heartbeat]) -> Shares:
-        """Return the mean shares of the region's gateways, so that one that starts joins them."""
+        """Return the mean shares of the region's gateways that have traffic.
+
+        A gateway that starts joins them.
+        """
         found = [
             heartbeat.shares[service]
             for heartbeat in others
-            if heartbeat.region == self.region and service in heartbeat.shares
+            if heartbeat.region == self.region
+            and service in heartbeat.shares
+            and heartbeat.work.get(service)
         ]
         total: Shares = {}
         for shares in found:
--- a/knapweeddock/gateway/spill.py
+++ b/knapweeddock/gateway/spill.py
@@ -15,6 +15,9 @@
 """Busy part of a region's slots above which requests move to other regions. Shares
 move slowly, so they have to move long before the region is full."""
 
+ASSUMED_LOAD = 0.5
+"""Busy part of all slots that is assumed before there are requests."""
+
 KEPT_OBJECTS = 12
 """Objects that a server is assumed to know at a time. With more, each one pushes
 out another before it comes again, and every request is dear."""
@@ -89,31 +92,47 @@
     return {region: weight / total for region, weight in weights.items() if weight > 0}
 
 
+def assume(origin: RegionId, loads: Mapping[RegionId, RegionLoad]) -> Shares:
+    """Return where the requests of ``origin`` should run before any was seen.
+
+    Load pattern: all gateways start at the peak of the day. Shares move slowly, so
+    a region with few servers would be overloaded for many seconds. Every region's
+    callers are assumed to need as much as the others', of what all slots can do.
+    """
+    regions = [load for load in loads.values() if load.slots]
+    if not regions:
+        return {origin: 1.0}
+    share = ASSUMED_LOAD * sum(load.slots for load in regions) / len(regions)
+    assumed = {
+        region: RegionLoad(work=share, slots=load.slots, servers=load.servers)
+        for region, load in loads.items()
+    }
+    return divide(origin, assumed)
+
+
 class SpillShares:
     """Shares of one service that follow their goal at a bounded rate.
 
     Attributes:
         current: Shares in force.
         rate_per_s: Part of the requests that may move per second.
-        first_step: Part of the requests that may move at once at the start of
-            traffic, when no gateway has shares yet.
     """
 
-    def __init__(
-        self, *, origin: RegionId, rate_per_s: float, first: Shares, first_step: float
-    ) -> None:
+    def __init__(self, *, origin: RegionId, rate_per_s: float) -> None:
         self.origin = origin
         self.rate_per_s = rate_per_s
-        self.current: Shares = dict(first) or {origin: 1.0}
-        self.first_step = 0.0 if first else first_step
+        self.current: Shares = {origin: 1.0}
         self.moved_at: float | None = None
 
+    def begin(self, first: Shares) -> None:
+        """Set the shares before there are requests that could move."""
+        if first:
+            self.current = dict(first)
+
     def follow(self, goal: Shares, now: float) -> None:
         """Move the shares towards ``goal``."""
-        if self.moved_at is None:
-            step = self.first_step
-        else:
-            step = self.rate_per_s * min(MAX_STEP_S, max(0.0, now - self.moved_at))
+        elapsed_s = 0.0 if self.moved_at is None else max(0.0, now - self.moved_at)
+        step = self.rate_per_s * min(MAX_STEP_S, elapsed_s)
         self.moved_at = now
         distance = sum(
             abs(goal.get(region, 0.0) - self.current.get(region, 0.0))
