Count servers whose requests are overdue as slow

Slowness was learned from responses only, and a request that runs into the route's time-out has none. Now the age of a server's oldest request counts while it waits, and an attempt that is ended without a response as well. Ruled out: load (the other servers were idle).

--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -1,8 +1,7 @@
 """One attempt: a request is sent to one server and its response is taken in."""
 
 import asyncio
-import contextlib
-from collections.abc import Iterator
+import time
 from dataclasses import dataclass
 from enum import Enum
 
@@ -96,7 +95,8 @@
     async def run(self, outgoing: Outgoing, placed: Placed, *, remaining_s: float) -> AttemptResult:
         """Send ``outgoing`` to the chosen server and wait for its response."""
         entry = placed.server.entry
-        with _counted(placed):
+        now = time.monotonic()
+        with placed.server.load.counted(now=now, expected_s=placed.expected_s):
             try:
                 connection = await self.pool.take(entry, idempotent=outgoing.idempotent)
             except PeerUnavailable as error:
@@ -195,16 +195,6 @@
         )
 
 
-@contextlib.contextmanager
-def _counted(placed: Placed) -> Iterator[None]:
-    """Count a request at its server for as long as it runs there."""
-    placed.server.load.own += 1
-    try:
-        yield
-    finally:
-        placed.server.load.own -= 1
-
-
 async def _send_body(
     request: IncomingRequest, connection: HttpConnection, *, chunked: bool
 ) -> None:
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -170,7 +170,11 @@
                 return
             self.placement.sent(wanted, placed, now)
             run.tried.append(placed.server.entry.server)
-            result = await self.attempts.run(outgoing, placed, remaining_s=run.deadline - now)
+            try:
+                result = await self.attempts.run(outgoing, placed, remaining_s=run.deadline - now)
+            except asyncio.CancelledError:
+                self.judgement.broken_off(placed, started_at=now)
+                raise
             run.arrivals += result.end is not AttemptEnd.UNREACHABLE
             self.judgement.judge(run, placed, result, started_at=now)
             if result.end is AttemptEnd.UNREACHABLE:
--- a/knapweeddock/gateway/judgement.py
+++ b/knapweeddock/gateway/judgement.py
@@ -65,6 +65,13 @@
             case AttemptEnd.RESPONSE:
                 self._learn_time(run, placed, result, now - started_at, now)
 
+    def broken_off(self, placed: Placed, *, started_at: float) -> None:
+        """Learn from an attempt that was ended before its response came."""
+        now = self.now()
+        slowness = (now - started_at) / max(0.001, placed.expected_s)
+        if slowness > placed.server.standing.slowness(now):
+            placed.server.standing.responded(failed=False, slowness=slowness, now=now)
+
     def _learn_load(self, placed: Placed, result: AttemptResult, now: float) -> None:
         load = result.facts.load
         if load is not None:
--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -49,6 +49,10 @@
 RETRY_AFTER_SPREAD = 0.5
 """Largest random addition to a time to come back (fraction), against herds."""
 
+OVERDUE_PART = 0.5
+"""Part of the delay of a server's oldest request that its next one is expected to
+have; work on a new object takes several times as long and is no sign of slowness."""
+
 CACHED_RANKS = 20_000
 """Objects whose servers are remembered until the set of servers changes."""
 
@@ -276,7 +280,7 @@
         seen = bool(request.key) and self.work.knows(server.entry.server, request.key, now)
         # Other gateways send the object to its first home as well.
         known = seen or (bool(request.key) and home_rank == 0)
-        slowness = server.standing.slowness(now)
+        slowness = max(server.standing.slowness(now), server.load.overdue(now) * OVERDUE_PART)
         mean_s = self.work.mean_s(request.service, request.route)
         before = server.load.total(now) + 1 - server.entry.slots
         work_s = self.work.expected_s(request.route, known=known)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -6,6 +6,7 @@
 from knapweeddock.gateway.placement import Placement, PlacementRequest
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
 from knapweeddock.gateway.routes import Route, WeightedService
+from knapweeddock.gateway.serverload import Pending
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.worktimes import WorkTimes
 
@@ -79,3 +80,8 @@
 
 def state_of(fleet: Fleet, name: str) -> ServerState:
     return fleet.servers[name]
+
+
+def occupy(state: ServerState, count: int) -> None:
+    """Give a server requests that were sent just now."""
+    state.load.pending += [Pending(sent_at=0.0, expected_s=1.0) for _ in range(count)]
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,5 +1,5 @@
 from knapweeddock.gateway.records import ServerPhase
-from tests.gateway.support import REGION, SERVICE, fleet_of, server, state_of
+from tests.gateway.support import REGION, SERVICE, fleet_of, occupy, server, state_of
 
 
 def names(fleet) -> list[str]:
@@ -61,7 +61,7 @@
 
 def test_entry_without_change_keeps_what_was_learned():
     fleet = fleet_of(server("a", started_at_ms=1))
-    state_of(fleet, "a").load.own = 2
+    occupy(state_of(fleet, "a"), 2)
     fleet.put(server("a", started_at_ms=1), 1.0)
     assert state_of(fleet, "a").load.own == 2
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -2,10 +2,12 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.gateway.placement import Placed, Refused
+from knapweeddock.gateway.serverload import Pending
 from knapweeddock.gateway.spill import SpillShares
 from tests.gateway.support import (
     SERVICE,
     fleet_of,
+    occupy,
     placement_of,
     route,
     server,
@@ -98,7 +100,7 @@
 
 def test_request_that_cannot_end_in_time_is_refused_at_once():
     fleet = fleet_of(server("only"))
-    state_of(fleet, "only").load.own = 12
+    occupy(state_of(fleet, "only"), 12)
     refused = placement_of(fleet).choose(wanted(), 0.0)
     assert isinstance(refused, Refused)
     assert refused.code is ResultCode.WAIT_TOO_LONG
@@ -106,7 +108,7 @@
 
 def test_urgent_request_is_accepted_where_another_is_refused():
     fleet = fleet_of(server("only"))
-    state_of(fleet, "only").load.own = 6
+    occupy(state_of(fleet, "only"), 6)
     placement = placement_of(fleet)
     assert isinstance(placement.choose(wanted(route=route(priority=2)), 0.0), Refused)
     assert isinstance(placement.choose(wanted(route=route(priority=1)), 0.0), Placed)
@@ -116,10 +118,20 @@
     fleet = fleet_of(*servers(6))
     placement = placement_of(fleet)
     first = chosen(placement, wanted())
-    state_of(fleet, first).load.own = 7
+    occupy(state_of(fleet, first), 7)
     assert chosen(placement, wanted()) != first
 
 
+def test_silent_server_gives_way_to_the_second_home():
+    # Its requests hang; without a response it would look idle once they time out.
+    fleet = fleet_of(*servers(6))
+    placement = placement_of(fleet)
+    first = chosen(placement, wanted())
+    state_of(fleet, first).load.pending.append(Pending(sent_at=0.0, expected_s=0.2))
+    assert chosen(placement, wanted(), 0.2) == first
+    assert chosen(placement, wanted(), 1.5) != first
+
+
 class Overload:
     """Replays a load that exceeds the slots for a while against servers with memory.
 
@@ -157,8 +169,7 @@
         """Take in the responses up to ``now``."""
         while self.running and self.running[0][0] <= now:
             ended, _, started, placed = heapq.heappop(self.running)
-            state = placed.server
-            state.load.own -= 1
+            placed.server.load.pending.pop(0)
             if placed.certain:
                 work_s = max(0.01, ended - started - placed.wait_s)
                 self.placement.work.observe(route(), SERVICE, known=placed.known, work_s=work_s)
@@ -176,7 +187,8 @@
             if isinstance(placed, Refused):
                 continue
             self.placement.sent(request, placed, now)
-            placed.server.load.own += 1
+            expected = Pending(sent_at=now, expected_s=placed.expected_s)
+            placed.server.load.pending.append(expected)
             ended = self.serve(placed.server.entry.server, key, now)
             heapq.heappush(self.running, (ended, key + str(index), now, placed))
             in_time += ended - now <= 0.25
