Keep large responses in the failure domain and bound idle connections

A gateway now keeps no more idle connections to a server than its part of what the server takes. The weight of a gateway had no use and is removed.

--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from knapweeddock.errors import ClientGone, MalformedResponse, PeerUnavailable, ResponseError
 from knapweeddock.gateway.placement import Placed
+from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.gateway.serverpool import ServerPool
 from knapweeddock.gateway.wire import RequestFacts, ResponseFacts, WireFormat
 from knapweeddock.http1.client import HttpConnection
@@ -45,10 +46,12 @@
         body: Start of the body, or all of it.
         whole: Whether ``body`` is all of it.
         connection: The connection from which the rest is read.
+        server: The server.
         reason: Why there is no response.
     """
 
     end: AttemptEnd
+    server: ServerEntry | None = None
     head: ResponseHead | None = None
     facts: ResponseFacts | None = None
     body: bytes = b""
@@ -112,8 +115,9 @@
                 # The caller is gone or the time is over: the server need not go on.
                 connection.abort()
                 raise
+        result.server = entry
         if result.whole:
-            self.pool.give_back(entry.server, connection)
+            self.pool.give_back(entry, connection)
         return result
 
     async def _exchange(
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -263,7 +263,7 @@
             answer.abort()
             return
         finally:
-            self.attempts.pool.give_back(run.tried[-1], connection)
+            self.attempts.pool.give_back(result.server, connection)
         answer.finish()
         self.decisions.delivered(run, head.status)
 
--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -139,7 +139,7 @@
         self.shift_limit = shift_limit
         self.rng = rng
         self.spills: dict[ServiceId, SpillShares] = {}
-        self._ranks: dict[tuple[ServiceId, RegionId, str], list[ServerState]] = {}
+        self._ranks: dict[tuple[ServiceId, RegionId, str, bool], list[ServerState]] = {}
         self._revision = -1
 
     def choose(self, request: PlacementRequest, now: float) -> Placed | Refused:
@@ -303,12 +303,15 @@
         if self._revision != self.fleet.revision or len(self._ranks) > CACHED_RANKS:
             self._ranks.clear()
             self._revision = self.fleet.revision
-        cached = (request.service, region, request.key)
+        bulk = request.route.bulk
+        cached = (request.service, region, request.key, bulk)
         ranked = self._ranks.get(cached)
         if ranked is None:
-            ranked = sorted(
-                servers, key=lambda state: hash_parts(request.key, state.entry.server), reverse=True
-            )
+            ranked = sorted(servers, key=lambda state: hash_parts(request.key, state.entry.server))
+            ranked.reverse()
+            if bulk:
+                # Large responses stay within the failure domain where that is possible.
+                ranked.sort(key=lambda state: state.entry.failure_domain != self.failure_domain)
             self._ranks[cached] = ranked
         return ranked
 
--- a/knapweeddock/gateway/records.py
+++ b/knapweeddock/gateway/records.py
@@ -54,8 +54,7 @@
         failure_domain: Where it runs.
         region: Region of that failure domain.
         front_address: Where clients connect.
-        peer_address: Where it receives heartbeats.
-        weight: Relative number of clients that it can serve.
+        peer_address: Where it receives heartbeats and subscribers.
     """
 
     vm: VmId
@@ -64,4 +63,3 @@
     region: RegionId
     front_address: Address
     peer_address: Address
-    weight: float = 1.0
--- a/knapweeddock/gateway/serverpool.py
+++ b/knapweeddock/gateway/serverpool.py
@@ -1,7 +1,7 @@
 """Connections to backend servers."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.http1.client import HttpConnection, connect
@@ -25,9 +25,15 @@
 
 
 class ServerPool:
-    """Idle connections by server, the latest used last."""
+    """Idle connections by server, the latest used last.
 
-    def __init__(self) -> None:
+    Attributes:
+        idle_limit: Returns how many idle connections to a server are kept.
+        opened: Number of connections that were opened.
+    """
+
+    def __init__(self, *, idle_limit: Callable[[ServerEntry], int]) -> None:
+        self.idle_limit = idle_limit
         self.opened = 0
         self._idle: dict[ServerId, list[HttpConnection]] = {}
 
@@ -63,11 +69,15 @@
             return None
         return None
 
-    def give_back(self, server: ServerId, connection: HttpConnection) -> None:
+    def give_back(self, entry: ServerEntry, connection: HttpConnection) -> None:
         """End an exchange and keep the connection if it can be used again."""
         connection.finish()
-        if connection.reusable:
-            self._idle.setdefault(server, []).append(connection)
+        if not connection.reusable:
+            return
+        idle = self._idle.setdefault(entry.server, [])
+        idle.append(connection)
+        if len(idle) > self.idle_limit(entry):
+            idle.pop(0).abort()
 
     def keep_only(self, servers: Collection[ServerId]) -> None:
         """Close idle connections to all other servers."""
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -25,7 +25,7 @@
 from knapweeddock.gateway.peers import GatewayPhase, Heartbeat, Peers, heartbeat_port
 from knapweeddock.gateway.placement import Placement
 from knapweeddock.gateway.probing import Prober
-from knapweeddock.gateway.records import GatewayEntry
+from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.relay import RelayServer, relay_port
 from knapweeddock.gateway.serverpool import ServerPool
 from knapweeddock.gateway.settings import GatewaySettings
@@ -81,7 +81,7 @@
         self.phase = GatewayPhase.STARTING
         self.view = View(fleet=Fleet())
         self.work = WorkTimes()
-        self.pool = ServerPool()
+        self.pool = ServerPool(idle_limit=self._idle_limit)
         self.metrics = GatewayMetrics(vm=settings.vm)
         self.metrics.process.before_reading = self._show_state
         self.decisions = DecisionLog(metrics=self.metrics)
@@ -163,6 +163,14 @@
         self.metrics_port = HttpListener(handler=self._answer_metrics, limits=ClientLimits)
         self.lookup = HttpListener(handler=self._answer_lookup, limits=ClientLimits)
 
+    def _idle_limit(self, entry: ServerEntry) -> int:
+        """Return this gateway's part of the connections that a server takes."""
+        config = self.view.config
+        policy = config.services.get(entry.service) if config is not None else None
+        if policy is None:
+            return 1
+        return max(1, policy.max_connections // max(1, len(self.view.gateways)))
+
     def _cold_part(self, server: ServerState) -> int:
         """Return how many requests per window this gateway may send to a cold server."""
         entry = server.entry
@@ -235,7 +243,6 @@
             region=settings.region,
             front_address=settings.front,
             peer_address=settings.peer,
-            weight=settings.weight,
         )
         while True:
             try:
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -65,7 +65,6 @@
         peer: Address for heartbeats of other gateways.
         store: The platform's store.
         bounds: Bounds on the deployment.
-        weight: Relative number of clients that the VM can serve.
     """
 
     vm: VmId
@@ -78,7 +77,6 @@
     peer: Address
     store: StoreLimits
     bounds: GatewayBounds = field(default_factory=GatewayBounds)
-    weight: float = 1.0
 
     @property
     def region(self) -> RegionId:
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -80,7 +80,6 @@
         "region": entry.region,
         "front": address_text(entry.front_address),
         "peer": address_text(entry.peer_address),
-        "weight": entry.weight,
     }
 
 
@@ -92,7 +91,6 @@
         region=RegionId(field(spec, "region", str)),
         front_address=address(spec.get("front")),
         peer_address=address(spec.get("peer")),
-        weight=number(spec, "weight", 1.0),
     )
 
 
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -24,9 +24,6 @@
 METRICS_PORT = 9464
 """Port for readers of metrics; ``deploy/system.toml`` names the same."""
 
-REFERENCE_MBPS = 100.0
-"""Bandwidth of a VM's link in Mbit/s that counts as weight 1."""
-
 
 def load(path: Path) -> GatewaySettings:
     """Read a settings file.
@@ -61,7 +58,6 @@
     regions = {FailureDomainId(name): RegionId(str(region)) for name, region in zones.items()}
     regions.setdefault(zone, RegionId(field(document, "Region", str)))
     platform = field(document, "Platform", dict)
-    limits = optional(document, "Limits", dict, {})
     return GatewaySettings(
         vm=VmId(field(document, "NodeName", str)),
         failure_domain=zone,
@@ -76,7 +72,6 @@
             history_s=duration(platform, "History", 20.0),
         ),
         bounds=_bounds(optional(document, "Bounds", dict, {})),
-        weight=max(0.01, number(limits, "LinkMbps", REFERENCE_MBPS) / REFERENCE_MBPS),
     )
 
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -69,6 +69,16 @@
     assert isinstance(placement.choose(request, 1.0), Refused)
 
 
+def test_large_responses_stay_in_the_failure_domain():
+    entries = servers(4) + [server(f"other{index}", failure_domain="north-b") for index in range(4)]
+    placement = placement_of(fleet_of(*entries))
+    keys = [str(index) for index in range(20)]
+    bulk = {chosen(placement, wanted(key, route=route(bulk=True))) for key in keys}
+    plain = {chosen(placement, wanted(key)) for key in keys}
+    assert not any(name.startswith("other") for name in bulk)
+    assert any(name.startswith("other") for name in plain)
+
+
 def test_objects_of_the_spilled_share_run_elsewhere():
     fleet = fleet_of(server("near"), server("far", region="south", failure_domain="south-a"))
     placement = placement_of(fleet)
