--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -138,6 +138,10 @@
                 run.request.answer.abort()
         except ClientGone:
             self.decisions.client_left(run)
+        except asyncio.CancelledError:
+            if run.request.client_gone:
+                self.decisions.client_left(run)
+            raise
 
     def _time_out(self, run: Run) -> None:
         if run.tried:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -166,6 +166,8 @@
         writer.close()
         await until(lambda: server.cut)
         assert server.cut == ["q1"]
+        metrics = await world.get(world.gateway.settings.metrics, "/metrics")
+        assert 'outcome="left"' in metrics.body.decode()
 
 
 async def test_draining_server_gets_nothing_more(settings_path):
