Accept clients of a stopping gateway while their look-up answers last

A gateway without open connections closed its port at once on SIGTERM, although clients use cached answers for seconds.

--- a/knapweeddock/gateway/placement.py
+++ b/knapweeddock/gateway/placement.py
@@ -44,7 +44,7 @@
 """Wait relative to the target latency that is always accepted, so that routes
 whose work exceeds their target are served at all."""
 
-MIN_RETRY_AFTER_S = 0.1
+MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 1.0
 RETRY_AFTER_SPREAD = 0.5
 """Largest random addition to a time to come back (fraction), against herds."""
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -279,10 +279,8 @@
         self.relay.stop()
         self.peers.send()
         log.info("stopping", active=self.front.active, connections=len(self.front.connections))
-        while time.monotonic() - started_at < CLOSE_IDLE_PART * limit_s:
-            await asyncio.sleep(DRAIN_POLL_S)
-            if not self.front.connections:
-                break
+        # New clients may come for as long as they keep older look-up answers.
+        await asyncio.sleep(CLOSE_IDLE_PART * limit_s)
         self.front.stop_accepting()
         self.forwarder.refuse_new = True
         while time.monotonic() - started_at < STOP_PART * limit_s:
