--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -267,9 +267,11 @@
 
 async def test_stopping_gateway_serves_clients_that_still_name_it(settings_path):
     # Look-up answers are cached; a port that closes at once would refuse their clients.
-    async with running_world(settings_path, servers=1, grace="3s") as world:
+    async with running_world(settings_path, servers=1, grace="4s") as world:
         world.stop.set()
         await until(lambda: world.gateway.phase.value == "leaving")
+        # Longer than the interval at which the stop looks for open connections.
+        await asyncio.sleep(0.3)
         reply = await world.ask("/read/a")
         assert reply.status == 200
         assert reply.headers["connection"] == "close"
