--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo bench lint format proto clean
+.PHONY: setup test demo bench report lint format proto clean
 
 setup: $(VENV)/.installed
 
@@ -30,6 +30,9 @@
 bench: setup
 	$(BIN)/python -m bench
 
+report: setup
+	$(BIN)/python -m bench.journal_report
+
 proto: setup
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. knapweeddock/proto/knapweed.proto
 
