Notice a silent store through relays in time

Ruled out: subscribers that stay with a relay that says it has lost the store (the log shows them leave at once).

Relays ping every 0.3 s and wait 0.45 s, longer when the store is slow; one that has only begun to watch does not vouch for its mirror. Worst case 1.8 s by the constants, which a test adds up.

--- a/knapweeddock/gateway/catalog.py
+++ b/knapweeddock/gateway/catalog.py
@@ -88,8 +88,8 @@
         """
 
     @abstractmethod
-    async def ping(self) -> None:
-        """Find out whether the store answers."""
+    async def ping(self, timeout_s: float) -> None:
+        """Find out whether the store answers within ``timeout_s`` seconds."""
 
     @abstractmethod
     async def register(self, entry: GatewayEntry) -> None:
@@ -170,7 +170,7 @@
             raise HistoryGone(f"history before {self._oldest} is gone")
         return Changes(changes=self._since(topic, revision), revision=Revision(self._revision))
 
-    async def ping(self) -> None:
+    async def ping(self, timeout_s: float) -> None:
         """Find out whether the store answers."""
         self._admit()
 
--- a/knapweeddock/gateway/following.py
+++ b/knapweeddock/gateway/following.py
@@ -30,8 +30,15 @@
 """Bounds of the pause in seconds before a failed call is repeated; kept under the
 time within which a store that is back must be noticed."""
 
-PING_PART = 0.4
-"""Interval of the pings relative to the time within which silence must be noticed."""
+PING_PART = 0.1
+PING_TIMEOUT_PART = 0.15
+PING_TIMEOUT_MAX_PART = 0.4
+"""Interval of the pings, and bounds of the time for their answer, relative to the time
+within which silence must be noticed. Gateways that take changes from this one have to
+notice it, try another relay, and read the store by themselves within that time."""
+
+PING_LATENCIES = 4.0
+"""Time for the answer to a ping relative to the time that the last one took."""
 
 
 class StoreFollower:
@@ -40,6 +47,7 @@
     While the store is away only pings are repeated, since every call is priced.
 
     Attributes:
+        answered_at: Monotonic time of the store's last answer.
         returned_at: Monotonic time at which the store answered after an outage.
     """
 
@@ -62,7 +70,7 @@
         self.returned_at = float("-inf")
         self._connected = asyncio.Event()
         self._connected.set()
-        self._answered_at = time.monotonic()
+        self.answered_at = time.monotonic()
         self._waiting: dict[Topic, asyncio.Task[object]] = {}
 
     @property
@@ -94,7 +102,7 @@
 
     def age_s(self) -> float:
         """Return the seconds since the store answered last."""
-        return time.monotonic() - self._answered_at
+        return time.monotonic() - self.answered_at
 
     async def _read_first(self, topic: Topic) -> None:
         failures = 0
@@ -168,23 +176,32 @@
 
     async def _ping(self) -> None:
         failures = 0
+        timeout_s = PING_TIMEOUT_PART * self.silence_s
         while True:
             started_at = time.monotonic()
             try:
-                await self.catalog.ping()
+                await self.catalog.ping(timeout_s)
             except StoreError as error:
                 failures += 1
                 self._failed(str(error), started_at)
                 if failures == 1:
                     self._restart_watches()
+                # The store may be slow instead of away.
+                timeout_s = PING_TIMEOUT_MAX_PART * self.silence_s
                 await self._pause(failures)
             else:
+                wanted_s = PING_LATENCIES * (time.monotonic() - started_at)
+                timeout_s = self._ping_timeout_s(wanted_s)
                 if failures:
                     self._restart_watches()
                 self._answered()
                 failures = 0
                 await asyncio.sleep(PING_PART * self.silence_s)
 
+    def _ping_timeout_s(self, wanted_s: float) -> float:
+        least_s = PING_TIMEOUT_PART * self.silence_s
+        return min(PING_TIMEOUT_MAX_PART * self.silence_s, max(least_s, wanted_s))
+
     def _restart_watches(self) -> None:
         for task in self._waiting.values():
             task.cancel()
@@ -195,15 +212,15 @@
 
     def _failed(self, reason: str, started_at: float) -> None:
         """Note a failed call, unless another one was answered after its start."""
-        if started_at < self._answered_at:
+        if started_at < self.answered_at:
             return
         if self.connected:
             log.warning("store lost", reason=reason)
         self._connected.clear()
 
     def _answered(self) -> None:
-        self._answered_at = time.monotonic()
+        self.answered_at = time.monotonic()
         if not self.connected:
-            self.returned_at = self._answered_at
+            self.returned_at = self.answered_at
             log.info("store regained")
         self._connected.set()
--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import struct
+import time
 from collections.abc import AsyncIterator, Callable
 
 import msgspec
@@ -22,10 +23,14 @@
 
 log = structlog.get_logger(__name__)
 
-PULSE_S = 0.3
+PULSE_S = 0.15
 """Interval in seconds at which a subscriber hears that the changes are complete."""
 
-SILENT_S = 0.9
+DOUBT_S = 0.15
+"""Time in seconds for which a relay that has lost its source looks for the store
+before it sends its subscribers away."""
+
+SILENT_S = 0.7
 """Time in seconds without a message after which a subscriber leaves."""
 
 CONNECT_TIMEOUT_S = 0.3
@@ -104,6 +109,9 @@
 class RelayServer:
     """Sends the mirror's changes to subscribers.
 
+    A gateway that has only begun to watch the store sends no pulse for a moment,
+    since it cannot vouch for its mirror yet; subscribers wait that long.
+
     Attributes:
         serving: Whether subscribers are accepted.
     """
@@ -112,6 +120,7 @@
         self.mirror = mirror
         self.connected = connected
         self.serving = False
+        self._doubtful_since: float | None = None
         self._subscribers: set[asyncio.StreamWriter] = set()
         mirror.listeners.append(self._pass_on)
 
@@ -130,10 +139,21 @@
     async def run(self) -> None:
         """Send pulses until cancelled."""
         while True:
-            if self._subscribers:
-                self._send(encode(Pulse(connected=self.connected())))
+            pulse = self._pulse()
+            if self._subscribers and pulse is not None:
+                self._send(encode(pulse))
             await asyncio.sleep(PULSE_S)
 
+    def _pulse(self) -> Pulse | None:
+        """Return what to tell subscribers; None while it is in doubt."""
+        if self.connected():
+            self._doubtful_since = None
+            return Pulse(connected=True)
+        now = time.monotonic()
+        if self._doubtful_since is None:
+            self._doubtful_since = now
+        return Pulse(connected=False) if now - self._doubtful_since >= DOUBT_S else None
+
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one subscriber until it leaves."""
         if not self.serving or not self.mirror.is_complete:
@@ -141,7 +161,9 @@
             return
         for topic in Topic:
             writer.write(encode(self.mirror.whole(topic)))
-        writer.write(encode(Pulse(connected=self.connected())))
+        pulse = self._pulse()
+        if pulse is not None:
+            writer.write(encode(pulse))
         self._subscribers.add(writer)
         with contextlib.suppress(ConnectionError):
             await reader.read()
--- a/knapweeddock/gateway/sourcing.py
+++ b/knapweeddock/gateway/sourcing.py
@@ -49,6 +49,7 @@
 
     Attributes:
         direct: Whether this gateway watches the store itself.
+        direct_since: Monotonic time since which it watches the store.
         complete_at: Monotonic time at which the mirror was known to be complete.
     """
 
@@ -73,13 +74,15 @@
         self.address_of = address_of
         self.rng = rng
         self.direct = True
+        self.direct_since = float("-inf")
         self.complete_at = time.monotonic()
 
     @property
     def connected(self) -> bool:
         """Whether the mirror is known to be complete."""
         if self.direct:
-            return self.follower.connected
+            verified = self.follower.answered_at >= self.direct_since
+            return self.follower.connected and verified
         return time.monotonic() - self.complete_at < SILENT_S
 
     def age_s(self) -> float:
@@ -114,6 +117,7 @@
     async def _watch_directly(self) -> None:
         """Watch the store until another gateway can be asked."""
         self.direct = True
+        self.direct_since = time.monotonic()
         self.relay.serving = True
         log.info("watching the store")
         following = asyncio.create_task(self.follower.run())
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -61,7 +61,13 @@
         self._idle: list[HttpConnection] = []
 
     async def call(
-        self, method: str, path: str, *, body: object = None, wait_s: float = 0.0
+        self,
+        method: str,
+        path: str,
+        *,
+        body: object = None,
+        wait_s: float = 0.0,
+        timeout_s: float | None = None,
     ) -> StoreAnswer:
         """Send one call.
 
@@ -70,6 +76,8 @@
             path: Path with its query.
             body: Body, encoded as JSON; none when None.
             wait_s: Time in seconds for which the store may hold the call.
+            timeout_s: Time in seconds for the answer beside that; ``CALL_TIMEOUT_S``
+                when None.
 
         Raises:
             StoreUnavailable: There was no answer; nothing was done.
@@ -79,7 +87,7 @@
         """
         self.calls += 1
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+            async with asyncio.timeout((timeout_s or CALL_TIMEOUT_S) + wait_s):
                 answer = await self._exchange(method, path, body)
         except PeerUnavailable as error:
             raise StoreUnavailable(str(error)) from error
@@ -192,9 +200,10 @@
             raise StoreUnavailable(f"changes of {topic.value}: {error}") from error
         return Changes(changes=changes, revision=following)
 
-    async def ping(self) -> None:
+    async def ping(self, timeout_s: float) -> None:
         """Make the cheapest call."""
-        await self.client.call("GET", _path(Topic.EVACUATIONS) + "?AllowStale=1")
+        path = _path(Topic.EVACUATIONS) + "?AllowStale=1"
+        await self.client.call("GET", path, timeout_s=timeout_s)
 
     async def register(self, entry: GatewayEntry) -> None:
         """Write the entry of this gateway."""
--- a/tests/gateway/test_sourcing.py
+++ b/tests/gateway/test_sourcing.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from knapweeddock.gateway import following, sourcing
+from knapweeddock.gateway import relay as relay_module
 from knapweeddock.gateway.catalog import MemoryCatalog, Topic
 from knapweeddock.gateway.following import StoreFollower
 from knapweeddock.gateway.mirror import Mirror
@@ -173,3 +174,23 @@
         region.members["late"] = Member("late", region)
         await until(lambda: region.members["late"].version() == 1)
         assert region.catalog.down
+
+
+def test_silence_is_noticed_through_two_relays_in_time():
+    # Both relays are turned away by a silent store; the others can still reach it and
+    # must have its changes within two thirds of the time for noticing silence.
+    silence_s = 3.0
+    ping_s = following.PING_PART * silence_s
+    answer_s = following.PING_TIMEOUT_PART * silence_s
+    told_s = relay_module.DOUBT_S + relay_module.PULSE_S
+    first_s = ping_s + answer_s + told_s
+    second_s = answer_s + told_s
+    assert first_s + second_s <= silence_s * 2 / 3
+
+
+async def test_relay_that_has_begun_to_watch_does_not_vouch_for_its_mirror(monkeypatch):
+    async with region_of(monkeypatch) as region:
+        first = region.members[relays("north", NAMES)[0]]
+        assert first.source.connected
+        first.source.direct_since = first.follower.answered_at + 1.0
+        assert not first.source.connected
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,6 @@
     StoreUnavailable,
 )
 from knapweeddock.gateway.catalog import Topic
-from knapweeddock.platform import store as store_module
 from knapweeddock.platform.store import StoreCatalog, StoreClient
 from standins.metastore import PAGE, StoreFault, running_metastore
 from tests.gateway.support import gateway
@@ -90,12 +89,11 @@
             await catalog.snapshot(Topic.SERVERS)
 
 
-async def test_silent_store_is_noticed(monkeypatch):
-    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.05)
+async def test_silent_store_is_noticed():
     async with catalog_of_store() as (store, catalog):
         store.fault = StoreFault.SILENT
         with pytest.raises(StoreUnavailable):
-            await catalog.ping()
+            await catalog.ping(0.05)
 
 
 async def test_registration_is_created_and_replaced():
@@ -123,4 +121,4 @@
         pass
     catalog = StoreCatalog(client=StoreClient(address=address), regions={})
     with pytest.raises(StoreUnavailable):
-        await catalog.ping()
+        await catalog.ping(0.05)
