--- a/tests/gateway/test_sourcing.py
+++ b/tests/gateway/test_sourcing.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import AsyncIterator
 
 from hypothesis import given
@@ -191,6 +192,6 @@
 async def test_relay_that_has_begun_to_watch_does_not_vouch_for_its_mirror(monkeypatch):
     async with region_of(monkeypatch) as region:
         first = region.members[relays("north", NAMES)[0]]
-        assert first.source.connected
-        first.source.direct_since = first.follower.answered_at + 1.0
+        await until(lambda: first.source.connected)
+        first.source.direct_since = time.monotonic() + 60.0
         assert not first.source.connected
