Make all calls to the platform with one client

Cause: HttpObjectStore and HttpVmList called the platform by aiohttp, the gateway's catalog by a client of its own. Timeouts, the one-time sending of writes and the mapping of failures to errors stood twice, and differed: a status 500 of a write meant 'nothing was done' in one and 'outcome unknown' in the other, and only one bounded the size of an answer and read Retry-After.

Change: platformhttp speaks over http1.client; httpstore, vmlist and platform.store use it. A read whose kept connection was closed before any answer is sent once more on a new connection; a write never is.

Tests: the client on raw connections (reuse, repeated read, write sent once, bound of an answer, TLS, URLs).

--- a/knapweeddock/http1/client.py
+++ b/knapweeddock/http1/client.py
@@ -314,8 +314,10 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-async def connect(address: tuple[str, int], *, timeout_s: float) -> HttpConnection:
-    """Open a connection.
+async def connect(
+    address: tuple[str, int], *, timeout_s: float, tls: bool = False
+) -> HttpConnection:
+    """Open a connection, with TLS and a verified certificate when ``tls`` is set.
 
     Raises:
         PeerUnavailable: There was no connection within ``timeout_s`` seconds.
@@ -324,7 +326,10 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: HttpConnection(address=address), address[0], address[1]
+                lambda: HttpConnection(address=address),
+                address[0],
+                address[1],
+                ssl=tls or None,
             )
     except (OSError, TimeoutError) as error:
         reason = str(error) or "no connection in time"
--- a/knapweeddock/httpstore.py
+++ b/knapweeddock/httpstore.py
@@ -3,7 +3,8 @@
 The protocol is in section 8.1 of ``docs/design.md``.
 """
 
-from urllib.parse import quote
+from http import HTTPMethod
+from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -15,6 +16,7 @@
     DEFAULT_TOTAL_TIMEOUT_S,
     Answer,
     PlatformHttp,
+    endpoint_of,
 )
 
 
@@ -25,7 +27,7 @@
 
 
 class HttpObjectStore(ObjectStore):
-    """Objects of the platform, by aiohttp."""
+    """Objects of the platform."""
 
     def __init__(
         self,
@@ -35,7 +37,9 @@
         total_timeout_s: float = DEFAULT_TOTAL_TIMEOUT_S,
     ) -> None:
         self.http = PlatformHttp(
-            url=url, connect_timeout_s=connect_timeout_s, total_timeout_s=total_timeout_s
+            endpoint=endpoint_of(url),
+            connect_timeout_s=connect_timeout_s,
+            total_timeout_s=total_timeout_s,
         )
 
     async def get(self, key: str) -> StoredObject | None:
@@ -51,7 +55,9 @@
             headers = {"If-None-Match": "*"}
         else:
             headers = {"If-Match": f'"{expected_version}"'}
-        answer = await self.http.write("PUT", _path("objects", key), headers=headers, body=value)
+        answer = await self.http.write(
+            HTTPMethod.PUT, _path("objects", key), headers=headers, body=value
+        )
         if answer.status == 412:
             raise VersionConflict(f"{key} does not have version {expected_version}")
         if answer.status not in (200, 201, 204):
@@ -62,17 +68,14 @@
 
     async def delete(self, key: str) -> None:
         """Remove the object at ``key``."""
-        answer = await self.http.write("DELETE", _path("objects", key), headers={})
+        answer = await self.http.write(HTTPMethod.DELETE, _path("objects", key))
         if answer.status not in (200, 204, 404):
             raise StoreUnavailable(f"DELETE {key}: the platform answered {answer.status}")
 
     async def watch(self, key: str, after_version: Version, timeout: float) -> StoredObject | None:
         """Wait until the object has a version above ``after_version``."""
-        answer = await self.http.read(
-            _path("watch", key),
-            params={"after": str(after_version), "timeout_s": f"{timeout:g}"},
-            extra_wait_s=timeout,
-        )
+        query = urlencode({"after": after_version, "timeout_s": f"{timeout:g}"})
+        answer = await self.http.read(f"{_path('watch', key)}?{query}", extra_wait_s=timeout)
         if answer.status in (204, 404):
             return None
         found = _stored(key, answer)
@@ -80,7 +83,7 @@
 
     async def list(self, prefix: str) -> list[str]:
         """Return the names of all objects that start with ``prefix``."""
-        answer = await self.http.read("/v1/objects", params={"prefix": prefix})
+        answer = await self.http.read(f"/v1/objects?{urlencode({'prefix': prefix})}")
         if answer.status != 200:
             raise StoreUnavailable(f"GET /v1/objects: the platform answered {answer.status}")
         try:
--- a/knapweeddock/platformhttp.py
+++ b/knapweeddock/platformhttp.py
@@ -1,14 +1,33 @@
-"""HTTP calls to the platform with bounded waits and typed errors."""
+"""HTTP calls to the platform with bounded waits and typed errors.
 
+Every client of the platform makes its calls here: the object API, the list of
+VMs and the catalog in the store.
+"""
+
+import asyncio
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http import HTTPMethod, HTTPStatus
+from urllib.parse import urlsplit
 
-import aiohttp
+import structlog
 
-from knapweeddock.errors import OutcomeUnknown, RateLimited, StoreUnavailable
+from knapweeddock.errors import (
+    ConfigError,
+    IncompleteResponse,
+    OutcomeUnknown,
+    PeerUnavailable,
+    RateLimited,
+    ResponseError,
+    StoreUnavailable,
+)
+from knapweeddock.http1.client import HttpConnection, connect
+from knapweeddock.http1.messages import Headers, encode_request, header_text
 from knapweeddock.objectstore import MAX_VALUE_BYTES
 
+log = structlog.get_logger(__name__)
+
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_TOTAL_TIMEOUT_S = 5.0
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -18,159 +37,225 @@
 MAX_ANSWER_BYTES = 16 * MAX_VALUE_BYTES
 """Bound on an answer: lists of VMs and object names exceed a single value."""
 
+DEFAULT_PORTS = {"http": 80, "https": 443}
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
-    """An answer of the platform.
+class Endpoint:
+    """Where the platform is reached.
 
     Attributes:
-        status: HTTP status.
-        etag: Content of the ``ETag`` header without quotes, or "".
-        body: The complete body.
+        host: Host name or IP address.
+        port: TCP port.
+        tls: Whether connections use TLS.
+        path: Path that precedes the path of each call, without a trailing slash.
     """
 
-    status: int
-    etag: str
-    body: bytes
+    host: str
+    port: int
+    tls: bool = False
+    path: str = ""
 
+    @property
+    def authority(self) -> str:
+        """Content of the ``Host`` header."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
-async def send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Client middleware that keeps aiohttp from sending a request again.
 
-    aiohttp repeats a PUT or DELETE by itself when the connection breaks
-    before the answer, on fresh connections too. A repeated conditional PUT
-    whose first try took effect is answered 412, which would report an
-    accepted write as refused.
+def endpoint_of(url: str) -> Endpoint:
+    """Return the endpoint that a base URL names.
 
     Raises:
-        OutcomeUnknown: The connection broke after the request was sent.
+        ConfigError: The URL has no host, another scheme or an invalid port.
     """
     try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise OutcomeUnknown(f"{request.method} {request.url.path}: {_text(error)}") from error
+        parts = urlsplit(url)
+        port = parts.port
+    except ValueError as error:
+        raise ConfigError(f"the platform's URL is {url!r}: {error}") from error
+    if parts.scheme not in DEFAULT_PORTS or not parts.hostname:
+        raise ConfigError(f"the platform's URL is {url!r}: not an http or https URL with a host")
+    return Endpoint(
+        host=parts.hostname,
+        port=DEFAULT_PORTS[parts.scheme] if port is None else port,
+        tls=parts.scheme == "https",
+        path=parts.path.rstrip("/"),
+    )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """An answer of the platform.
+
+    Attributes:
+        status: HTTP status.
+        headers: All headers.
+        body: The complete body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def etag(self) -> str:
+        """Content of the ``ETag`` header without quotes, or ""."""
+        return header_text(self.headers, b"etag").removeprefix("W/").strip('"')
 
 
 class PlatformHttp:
     """HTTP connections to the platform.
 
-    Reads share kept-alive connections. Each write opens its own connection,
-    since a reused one that the platform has closed would leave the write with
-    an unknown outcome.
+    Reads share kept connections. Each write opens its own connection, since a
+    kept one that the platform has closed would leave the write with an
+    unknown outcome. A write is sent at most once: a repeated conditional PUT
+    whose first try took effect would be reported as refused.
 
     Attributes:
-        url: Base URL of the platform.
+        endpoint: Where the platform is reached.
+        connect_timeout_s: Longest duration of opening a connection.
         total_timeout_s: Longest duration of a call, connecting included.
+        calls: Number of calls, refused ones included.
     """
 
     def __init__(
         self,
         *,
-        url: str,
+        endpoint: Endpoint,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         total_timeout_s: float = DEFAULT_TOTAL_TIMEOUT_S,
     ) -> None:
-        self.url = url.rstrip("/")
+        self.endpoint = endpoint
         self.connect_timeout_s = connect_timeout_s
         self.total_timeout_s = total_timeout_s
-        self._reads: aiohttp.ClientSession | None = None
-        self._writes: aiohttp.ClientSession | None = None
+        self.calls = 0
+        self._idle: list[HttpConnection] = []
 
     async def read(
-        self, path: str, *, params: Mapping[str, str] | None = None, extra_wait_s: float = 0.0
+        self, target: str, *, extra_wait_s: float = 0.0, total_timeout_s: float | None = None
     ) -> Answer:
         """Send a GET and return the answer.
 
         Args:
-            path: Path with its leading slash.
-            params: Query parameters.
+            target: Path with its leading slash, and the query.
             extra_wait_s: Time that the platform may hold the call open.
+            total_timeout_s: Longest duration beside that; the client's when None.
 
         Raises:
             StoreUnavailable: There was no complete answer, or status 5xx.
             RateLimited: The platform refused the call.
         """
-        if self._reads is None:
-            self._reads = aiohttp.ClientSession()
-        timeout = self._timeout(extra_wait_s)
+        timeout_s = (total_timeout_s or self.total_timeout_s) + extra_wait_s
+        data = self._encoded(HTTPMethod.GET, target, {}, b"")
+        self.calls += 1
         try:
-            async with self._reads.get(
-                self.url + path, params=params, timeout=timeout, allow_redirects=False
-            ) as response:
-                answer = await self._answer(response)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise StoreUnavailable(f"GET {path}: {_text(error)}") from error
-        if answer.status >= 500:
-            raise StoreUnavailable(f"GET {path}: the platform answered {answer.status}")
+            async with asyncio.timeout(timeout_s):
+                answer = await self._read(data)
+        except (PeerUnavailable, ResponseError, TimeoutError) as error:
+            raise StoreUnavailable(f"GET {target}: {_text(error)}") from error
+        _check_rate(answer)
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise StoreUnavailable(f"GET {target}: the platform answered {answer.status}")
         return answer
 
     async def write(
-        self, method: str, path: str, *, headers: Mapping[str, str], body: bytes = b""
+        self,
+        method: HTTPMethod,
+        target: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
     ) -> Answer:
-        """Send a PUT or DELETE and return the answer.
+        """Send a PUT, POST or DELETE once and return the answer.
 
         Raises:
-            StoreUnavailable: The connection was refused, or status 503.
+            StoreUnavailable: There was no connection, or status 503.
             OutcomeUnknown: The call was sent and its answer was lost.
             RateLimited: The platform refused the call.
         """
-        if self._writes is None:
-            self._writes = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True), middlewares=(send_once,)
-            )
+        data = self._encoded(method, target, headers or {}, body)
+        self.calls += 1
         try:
-            async with self._writes.request(
-                method,
-                self.url + path,
-                headers=headers,
-                data=body,
-                timeout=self._timeout(0.0),
-                allow_redirects=False,
-            ) as response:
-                answer = await self._answer(response)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise StoreUnavailable(f"{method} {path}: {_text(error)}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise OutcomeUnknown(f"{method} {path}: {_text(error)}") from error
-        if answer.status == 503:
-            raise StoreUnavailable(f"{method} {path}: the platform answered 503")
-        if answer.status >= 500:
-            raise OutcomeUnknown(f"{method} {path}: the platform answered {answer.status}")
+            async with asyncio.timeout(self.total_timeout_s):
+                answer = await self._exchange(await self._connect(), data)
+        except PeerUnavailable as error:
+            raise StoreUnavailable(f"{method} {target}: {_text(error)}") from error
+        except (ResponseError, TimeoutError) as error:
+            raise OutcomeUnknown(f"{method} {target}: {_text(error)}") from error
+        _check_rate(answer)
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            raise StoreUnavailable(f"{method} {target}: the platform answered 503")
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise OutcomeUnknown(f"{method} {target}: the platform answered {answer.status}")
         return answer
 
     async def close(self) -> None:
-        """Close all connections."""
-        for session in (self._reads, self._writes):
-            if session is not None:
-                await session.close()
-        self._reads = None
-        self._writes = None
-
-    def _timeout(self, extra_wait_s: float) -> aiohttp.ClientTimeout:
-        return aiohttp.ClientTimeout(
-            total=self.total_timeout_s + extra_wait_s, sock_connect=self.connect_timeout_s
-        )
-
-    async def _answer(self, response: aiohttp.ClientResponse) -> Answer:
-        if response.status == 429:
-            retry_after_s = _retry_after_s(response.headers.get("Retry-After", ""))
-            raise RateLimited("the platform's rate limit was reached", retry_after_s=retry_after_s)
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def _encoded(
+        self, method: HTTPMethod, target: str, headers: Mapping[str, str], body: bytes
+    ) -> bytes:
+        lines = [(b"Host", self.endpoint.authority.encode())]
+        lines += [(name.encode(), value.encode()) for name, value in headers.items()]
+        if body or method in (HTTPMethod.PUT, HTTPMethod.POST):
+            lines.append((b"Content-Length", b"%d" % len(body)))
+        path = (self.endpoint.path + target).encode()
+        return encode_request(method.encode(), path, lines) + body
+
+    async def _read(self, data: bytes) -> Answer:
+        connection = self._take_idle()
+        if connection is not None:
+            try:
+                return await self._exchange(connection, data)
+            except (PeerUnavailable, IncompleteResponse) as error:
+                if connection.head is not None:
+                    raise
+                log.info("kept connection to the platform was closed", reason=str(error))
+        return await self._exchange(await self._connect(), data)
+
+    async def _exchange(self, connection: HttpConnection, data: bytes) -> Answer:
         body = bytearray()
-        async for chunk in response.content.iter_chunked(64 * 1024):
-            body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
-                raise aiohttp.ClientPayloadError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
-        etag = response.headers.get("ETag", "").removeprefix("W/").strip('"')
-        return Answer(status=response.status, etag=etag, body=bytes(body))
+        try:
+            connection.start(data)
+            head = await connection.response_head()
+            while chunk := await connection.read():
+                body += chunk
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise ResponseError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+        except BaseException:
+            connection.abort()
+            raise
+        connection.finish()
+        if connection.reusable:
+            self._idle.append(connection)
+        return Answer(status=head.status, headers=head.headers, body=bytes(body))
+
+    def _take_idle(self) -> HttpConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            connection.abort()
+        return None
+
+    async def _connect(self) -> HttpConnection:
+        address = (self.endpoint.host, self.endpoint.port)
+        return await connect(address, timeout_s=self.connect_timeout_s, tls=self.endpoint.tls)
+
+
+def _check_rate(answer: Answer) -> None:
+    if answer.status == HTTPStatus.TOO_MANY_REQUESTS:
+        retry_after_s = _retry_after_s(header_text(answer.headers, b"retry-after"))
+        raise RateLimited("the platform's rate limit was reached", retry_after_s=retry_after_s)
 
 
 def _text(error: Exception) -> str:
     if isinstance(error, TimeoutError):
-        return f"no answer in time ({type(error).__name__})"
+        return "no answer in time"
     return str(error) or type(error).__name__
 
 
--- a/knapweeddock/vmlist.py
+++ b/knapweeddock/vmlist.py
@@ -12,6 +12,7 @@
     DEFAULT_CONNECT_TIMEOUT_S,
     DEFAULT_TOTAL_TIMEOUT_S,
     PlatformHttp,
+    endpoint_of,
 )
 
 
@@ -101,7 +102,9 @@
         total_timeout_s: float = DEFAULT_TOTAL_TIMEOUT_S,
     ) -> None:
         self.http = PlatformHttp(
-            url=url, connect_timeout_s=connect_timeout_s, total_timeout_s=total_timeout_s
+            endpoint=endpoint_of(url),
+            connect_timeout_s=connect_timeout_s,
+            total_timeout_s=total_timeout_s,
         )
 
     async def fetch(self) -> list[VmEntry]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
     StoreUnavailable,
 )
 from knapweeddock.gateway.catalog import Topic
-from knapweeddock.platform.store import StoreCatalog, StoreClient
+from knapweeddock.platform.store import StoreCatalog, store_http
 from standins.metastore import PAGE, StoreFault, running_metastore
 from tests.gateway.support import gateway
 from tests.platform import documents
@@ -19,7 +19,7 @@
 @contextlib.asynccontextmanager
 async def catalog_of_store():
     async with running_metastore() as (store, address):
-        catalog = StoreCatalog(client=StoreClient(address=address), regions=documents.ZONES)
+        catalog = StoreCatalog(http=store_http(address), regions=documents.ZONES)
         try:
             yield store, catalog
         finally:
@@ -119,6 +119,6 @@
 async def test_store_that_is_not_there_is_unavailable():
     async with running_metastore() as (_, address):
         pass
-    catalog = StoreCatalog(client=StoreClient(address=address), regions={})
+    catalog = StoreCatalog(http=store_http(address), regions={})
     with pytest.raises(StoreUnavailable):
         await catalog.ping(0.05)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -10,7 +10,7 @@
 
 from knapweeddock.gateway.service import Gateway
 from knapweeddock.platform.settings import load
-from knapweeddock.platform.store import StoreCatalog, StoreClient
+from knapweeddock.platform.store import StoreCatalog, store_http
 from knapweeddock.platform.wire import PlatformWire
 from standins.metastore import MetaStore, running_metastore
 from standins.platformserver import PlatformServer, running_server
@@ -163,9 +163,7 @@
 def _start(path: Path, text: str, store: MetaStore) -> World:
     path.write_text(text)
     settings = dataclasses.replace(load(path), metrics=("127.0.0.1", free_port()))
-    catalog = StoreCatalog(
-        client=StoreClient(address=settings.store.address), regions=settings.regions
-    )
+    catalog = StoreCatalog(http=store_http(settings.store.address), regions=settings.regions)
     gateway = Gateway(settings=settings, catalog=catalog, wire=PlatformWire())
     stop = asyncio.Event()
     running = asyncio.create_task(gateway.run(stop))
--- a/tests/test_platformhttp.py
+++ b/tests/test_platformhttp.py
@@ -1,13 +1,25 @@
 """HTTP answers outside the protocol: each must end as the error that claims least."""
 
+import asyncio
+import contextlib
+from http import HTTPMethod
+
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from knapweeddock.errors import OutcomeUnknown, RateLimited, StoreUnavailable
+from knapweeddock.errors import ConfigError, OutcomeUnknown, RateLimited, StoreUnavailable
 from knapweeddock.httpstore import HttpObjectStore
 from knapweeddock.ids import Version
-from knapweeddock.platformhttp import MAX_RETRY_AFTER_S
+from knapweeddock.platformhttp import (
+    MAX_ANSWER_BYTES,
+    MAX_RETRY_AFTER_S,
+    Endpoint,
+    PlatformHttp,
+    endpoint_of,
+)
+
+EMPTY_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
 @pytest.fixture
@@ -74,3 +86,105 @@
     with pytest.raises(RateLimited) as raised:
         await store.get("a")
     assert raised.value.retry_after_s == seconds
+
+
+@contextlib.asynccontextmanager
+async def platform_of(*, answers_per_connection: int, answer: bytes = EMPTY_ANSWER):
+    """Serve on raw connections, each closed without a word after some answers.
+
+    Yields a client and the request lines that were received.
+    """
+    received = []
+
+    async def serve(reader, writer):
+        for _ in range(answers_per_connection):
+            received.append((await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")[0])
+            writer.write(answer)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            received.append((await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")[0])
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        http = PlatformHttp(endpoint=Endpoint(host=host, port=port, path="/base"))
+        try:
+            yield http, received
+        finally:
+            await http.close()
+
+
+async def test_reads_share_a_connection():
+    async with platform_of(answers_per_connection=2) as (http, received):
+        await http.read("/a")
+        await http.read("/b?c=d")
+        assert received == [b"GET /base/a HTTP/1.1", b"GET /base/b?c=d HTTP/1.1"]
+        assert http.calls == 2
+
+
+async def test_read_on_a_kept_connection_that_was_closed_is_repeated():
+    """A platform that closes idle connections must not look like one that is down."""
+    async with platform_of(answers_per_connection=1) as (http, received):
+        await http.read("/a")
+        assert (await http.read("/b")).status == 200
+        assert received == [b"GET /base/a HTTP/1.1"] + 2 * [b"GET /base/b HTTP/1.1"]
+
+
+async def test_read_is_repeated_only_once():
+    async with platform_of(answers_per_connection=0) as (http, received):
+        with pytest.raises(StoreUnavailable):
+            await http.read("/a")
+        assert received == [b"GET /base/a HTTP/1.1"]
+
+
+async def test_write_uses_a_connection_of_its_own_and_is_sent_once():
+    """A repeated PUT would report an accepted change as refused."""
+    async with platform_of(answers_per_connection=0) as (http, received):
+        with pytest.raises(OutcomeUnknown):
+            await http.write(HTTPMethod.PUT, "/a")
+        assert received == [b"PUT /base/a HTTP/1.1"]
+
+
+async def test_answer_that_is_too_large():
+    """An endless answer would fill the memory of the process."""
+    size = MAX_ANSWER_BYTES + 1
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size)
+    async with platform_of(answers_per_connection=1, answer=answer) as (http, _):
+        with pytest.raises(StoreUnavailable, match="exceeds"):
+            await http.read("/a")
+
+
+async def test_https_is_not_spoken_in_plain_text():
+    """A client that ignores the scheme would send requests unencrypted."""
+    first_bytes = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        first_bytes.set_result(await reader.read(1))
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        http = PlatformHttp(endpoint=endpoint_of(f"https://127.0.0.1:{port}"))
+        with pytest.raises(StoreUnavailable):
+            await http.read("/a")
+        tls_handshake_record = b"\x16"
+        assert await first_bytes == tls_handshake_record
+
+
+@pytest.mark.parametrize(
+    ("url", "endpoint"),
+    [
+        ("http://store", Endpoint(host="store", port=80)),
+        ("https://store/", Endpoint(host="store", port=443, tls=True)),
+        ("http://[::1]:81/a/b/", Endpoint(host="::1", port=81, path="/a/b")),
+    ],
+)
+def test_endpoint_of_url(url, endpoint):
+    assert endpoint_of(url) == endpoint
+
+
+@pytest.mark.parametrize("url", ["", "store:80", "ftp://store", "http://:80", "http://store:x"])
+def test_url_without_an_endpoint(url):
+    """A traceback would not tell an operator which setting is wrong."""
+    with pytest.raises(ConfigError, match="platform's URL"):
+        endpoint_of(url)
