Add a soak of gateway processes under faults from outside

Change: soak/ runs gateway processes, with the stand-ins of store and servers behind loopback links that delay, reset, cut one way or fall silent. Gateways are killed, stopped, paused, reloaded; servers crash, return under the same or a new name, drain and misbehave; the store is busy, silent, deaf, loses answers or its history; routes change in storms and failure domains are evacuated. Eleven promises are checked on what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 PYTHON ?= python3
 EXAMPLE ?= karoo-vaal
 TESTS ?=
+SEED ?= 1
+MINUTES ?= 5
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo bench report lint format proto clean
+.PHONY: setup test demo bench report soak soak-recorded lint format proto clean
 
 setup: $(VENV)/.installed
 
@@ -33,6 +35,12 @@
 report: setup
 	$(BIN)/python -m bench.journal_report
 
+soak: setup
+	$(BIN)/python -m soak --seed $(SEED) --minutes $(MINUTES)
+
+soak-recorded: setup
+	$(BIN)/python -m soak --recorded
+
 proto: setup
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. knapweeddock/proto/knapweed.proto
 
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,212 @@
+"""What goes wrong in a run, and when; drawn from a seed."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from soak.links import LinkFault
+from standins.metastore import StoreFault
+from standins.platformserver import ServerFault
+
+SHORTEST_S = 0.3
+LONGEST_S = 4.0
+"""Bounds on the duration of a fault in seconds."""
+
+MOST_CHANGES = 6
+"""Changes of the configuration in a storm of them."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KillGateway:
+    """SIGKILL, and a start after ``down_s`` seconds."""
+
+    gateway: int
+    down_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopGateway:
+    """SIGTERM, and a start ``down_s`` seconds after the end."""
+
+    gateway: int
+    down_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PauseGateway:
+    """SIGSTOP, and SIGCONT after ``for_s`` seconds."""
+
+    gateway: int
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReloadGateway:
+    """SIGHUP."""
+
+    gateway: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DisturbFront:
+    """A fault between the callers and a gateway."""
+
+    gateway: int
+    fault: LinkFault
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DisturbServerLink:
+    """A fault between all gateways and a server."""
+
+    server: int
+    fault: LinkFault
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DisturbStoreLink:
+    """A fault between one gateway and the store."""
+
+    gateway: int
+    fault: LinkFault
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DisturbStore:
+    """A fault of the store itself."""
+
+    fault: StoreFault
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DeafStore:
+    """Watches hear of nothing."""
+
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForgetHistory:
+    """The store drops the changes that it has kept."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashServer:
+    """A server ends without a word and starts again, under its name or a new one."""
+
+    server: int
+    down_s: float
+    renamed: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DrainServer:
+    """A server announces that it is leaving, and later that it stays."""
+
+    server: int
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MisbehaveServer:
+    """A server answers wrongly or not at all while its entry says ready."""
+
+    server: int
+    fault: ServerFault
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ChangeRoutes:
+    """Changes of the configuration one after the other."""
+
+    times: int
+    gap_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuateDomain:
+    """A failure domain is evacuated."""
+
+    domain: int
+    for_s: float
+
+
+Fault = (
+    KillGateway
+    | StopGateway
+    | PauseGateway
+    | ReloadGateway
+    | DisturbFront
+    | DisturbServerLink
+    | DisturbStoreLink
+    | DisturbStore
+    | DeafStore
+    | ForgetHistory
+    | CrashServer
+    | DrainServer
+    | MisbehaveServer
+    | ChangeRoutes
+    | EvacuateDomain
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Size:
+    """Parts of the deployment."""
+
+    gateways: int = 4
+    servers: int = 6
+    domains: int = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannedFault:
+    """A fault and its time after the start of the round, in seconds."""
+
+    at_s: float
+    fault: Fault
+
+
+def draw_round(
+    rng: random.Random, *, size: Size, faults: int, length_s: float
+) -> list[PlannedFault]:
+    """Return ``faults`` faults of a round, in the order of their times."""
+    times = sorted(rng.uniform(0.0, length_s) for _ in range(faults))
+    return [PlannedFault(at_s=at_s, fault=_draw(rng, size)) for at_s in times]
+
+
+def _draw(rng: random.Random, size: Size) -> Fault:
+    kind = rng.choice(Fault.__args__)
+    return kind(**{name: _draw_field(rng, name, kind, size) for name in kind.__slots__})
+
+
+def _draw_field(rng: random.Random, name: str, kind: type, size: Size) -> Any:
+    match name:
+        case "gateway":
+            return rng.randrange(size.gateways)
+        case "server":
+            return rng.randrange(size.servers)
+        case "domain":
+            return rng.randrange(size.domains)
+        case "for_s" | "down_s":
+            return round(rng.uniform(SHORTEST_S, LONGEST_S), 2)
+        case "gap_s":
+            return round(rng.uniform(0.0, 0.5), 2)
+        case "times":
+            return rng.randint(1, MOST_CHANGES)
+        case "renamed":
+            return rng.random() < 0.5
+        case "fault":
+            return rng.choice(_faults_of(kind))
+    raise ValueError(f"{kind.__name__} has an unknown field {name}")
+
+
+def _faults_of(kind: type) -> list[Any]:
+    kinds = {DisturbStore: StoreFault, MisbehaveServer: ServerFault}
+    values = kinds.get(kind, LinkFault)
+    return [value for value in values if value is not values.NONE]
--- /dev/null
+++ b/soak/injection.py
@@ -0,0 +1,133 @@
+"""Carries single faults out on a deployment."""
+
+import asyncio
+
+from soak import faults
+from soak.deployment import DOMAINS, LAPSE_S, Deployment, ServerHost
+from soak.faults import Fault
+from soak.links import Link, LinkFault
+from soak.observations import Observations
+from standins.metastore import StoreFault
+from standins.platformserver import ServerFault
+
+
+async def apply_fault(deployment: Deployment, fault: Fault) -> None:
+    """Carry one fault out, from its begin to its end."""
+    match fault:
+        case faults.ChangeRoutes():
+            await _change_routes(deployment, fault)
+        case faults.EvacuateDomain():
+            await _evacuate(deployment, DOMAINS[fault.domain], fault.for_s)
+        case faults.DisturbStore() | faults.DeafStore() | faults.ForgetHistory():
+            await _apply_to_store(deployment, fault)
+        case faults.CrashServer() | faults.DrainServer() | faults.MisbehaveServer():
+            await _apply_to_server(deployment, deployment.servers[fault.server], fault)
+        case faults.DisturbServerLink():
+            host = deployment.servers[fault.server]
+            await _disturb_link(deployment.seen, host.server.name, host.link, fault)
+        case _:
+            await _apply_to_gateway(deployment, fault)
+
+
+async def _apply_to_gateway(deployment: Deployment, fault: Fault) -> None:
+    gateway = deployment.gateways[fault.gateway]
+    match fault:
+        case faults.KillGateway():
+            await gateway.kill(fault.down_s)
+        case faults.StopGateway():
+            await gateway.stop(fault.down_s)
+        case faults.PauseGateway():
+            await gateway.pause(fault.for_s)
+        case faults.ReloadGateway():
+            gateway.reload()
+        case faults.DisturbFront():
+            await _disturb_link(deployment.seen, gateway.name, gateway.front, fault)
+        case faults.DisturbStoreLink():
+            subject = f"store of {gateway.name}"
+            await _disturb_link(deployment.seen, subject, gateway.store_link, fault)
+
+
+async def _apply_to_store(deployment: Deployment, fault: Fault) -> None:
+    store = deployment.store
+    match fault:
+        case faults.ForgetHistory():
+            store.forget_history()
+        case faults.DisturbStore():
+            with deployment.seen.disturbed("store"):
+                store.fault = fault.fault
+                await asyncio.sleep(fault.for_s)
+                store.fault = StoreFault.NONE
+        case faults.DeafStore():
+            with deployment.seen.disturbed("store"):
+                store.deaf = True
+                await asyncio.sleep(fault.for_s)
+                store.deaf = False
+
+
+async def _apply_to_server(deployment: Deployment, host: ServerHost, fault: Fault) -> None:
+    match fault:
+        case faults.CrashServer():
+            await _crash(deployment, host, fault)
+        case faults.DrainServer():
+            await _drain(deployment, host, fault.for_s)
+        case faults.MisbehaveServer():
+            await _misbehave(deployment.seen, host, fault)
+
+
+async def _disturb_link(
+    seen: Observations,
+    subject: str,
+    link: Link,
+    fault: faults.DisturbFront | faults.DisturbStoreLink | faults.DisturbServerLink,
+) -> None:
+    with seen.disturbed(subject):
+        link.disturb(fault.fault)
+        await asyncio.sleep(fault.for_s)
+        link.disturb(LinkFault.NONE)
+
+
+async def _crash(deployment: Deployment, host: ServerHost, fault: faults.CrashServer) -> None:
+    async with host.lock:
+        with deployment.seen.disturbed(host.server.name):
+            name = host.server.name
+            port = host.link.target[1]
+            host.link.disturb(LinkFault.RESET)
+            await host.stop()
+            await asyncio.sleep(min(fault.down_s, LAPSE_S))
+            if fault.down_s > LAPSE_S or fault.renamed:
+                deployment.store.remove("servers", name)
+            await asyncio.sleep(max(0.0, fault.down_s - LAPSE_S))
+            renamed = f"{name.partition('.')[0]}.{host.starts}"
+            await host.start(name=renamed if fault.renamed else name, port=port)
+            host.link.disturb(LinkFault.NONE)
+            deployment.publish_server(host)
+
+
+async def _drain(deployment: Deployment, host: ServerHost, for_s: float) -> None:
+    async with host.lock:
+        deployment.publish_server(host, state="draining")
+        with deployment.seen.leaving(server=host.server.name):
+            await asyncio.sleep(for_s)
+        deployment.publish_server(host)
+
+
+async def _misbehave(seen: Observations, host: ServerHost, fault: faults.MisbehaveServer) -> None:
+    server = host.server
+    with seen.disturbed(server.name):
+        server.fault = fault.fault
+        await asyncio.sleep(fault.for_s)
+        server.fault = ServerFault.NONE
+
+
+async def _change_routes(deployment: Deployment, fault: faults.ChangeRoutes) -> None:
+    for _ in range(fault.times):
+        deployment.publish_routes()
+        await asyncio.sleep(fault.gap_s)
+
+
+async def _evacuate(deployment: Deployment, domain: str, for_s: float) -> None:
+    async with deployment.domain_locks[domain]:
+        deployment.store.put("evacuations", domain, {})
+        with deployment.seen.leaving(domain=domain):
+            await asyncio.sleep(for_s)
+        deployment.store.remove("evacuations", domain)
--- /dev/null
+++ b/soak/observations.py
@@ -0,0 +1,161 @@
+"""What callers and backend servers saw during a run."""
+
+import contextlib
+import math
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Outcome(Enum):
+    """How a call ended for its caller."""
+
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    UNANSWERED = "unanswered"
+    ABANDONED = "abandoned"
+
+
+class Cause(Enum):
+    """What disturbs a part of the deployment."""
+
+    FAULT = "fault"
+    PLANNED_STOP = "planned stop"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """One request as its caller saw it.
+
+    Attributes:
+        request_id: Identifier of the request.
+        gateway: Name of the gateway that got it.
+        idempotent: Whether it may run more than once.
+        sent_at: Monotonic time of the first byte, in seconds.
+        ended_at: Monotonic time at which the outcome was known.
+        outcome: How it ended.
+        status: Status of the answer, 0 without one.
+        received_bytes: Bytes of the answer.
+        foreign: Whether the answer belongs to another request or is spoilt.
+    """
+
+    request_id: str
+    gateway: str
+    idempotent: bool
+    sent_at: float
+    ended_at: float
+    outcome: Outcome
+    status: int = 0
+    received_bytes: int = 0
+    foreign: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Execution:
+    """One run of a request on a server.
+
+    Attributes:
+        request_id: Identifier of the request.
+        server: Name of the server.
+        service: Service of the server.
+        domain: Failure domain of the server.
+        at: Monotonic time of its start, in seconds.
+        intact: Whether the body was the one that the caller sent.
+    """
+
+    request_id: str
+    server: str
+    service: str
+    domain: str
+    at: float
+    intact: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class Disturbance:
+    """Time within which something was wrong with a part of the deployment."""
+
+    subject: str
+    cause: Cause
+    began_at: float
+    ended_at: float = math.inf
+
+    def overlaps(self, start: float, end: float) -> bool:
+        """Whether it lasted at some moment from ``start`` to ``end``."""
+        return self.began_at <= end and self.ended_at >= start
+
+
+@dataclass(kw_only=True, slots=True)
+class Leave:
+    """Time for which servers must get no new requests.
+
+    Attributes:
+        server: Name of the server, or "" for all of ``domain``.
+        domain: Name of the failure domain, or "" for one server.
+        began_at: Monotonic time at which the store had it.
+        ended_at: Monotonic time at which it was taken back.
+    """
+
+    server: str = ""
+    domain: str = ""
+    began_at: float
+    ended_at: float = math.inf
+
+    def covers(self, execution: Execution) -> bool:
+        """Whether the server of ``execution`` is meant."""
+        return execution.server == self.server or execution.domain == self.domain
+
+
+@dataclass(kw_only=True)
+class Observations:
+    """Everything that was seen in a run.
+
+    Attributes:
+        calls: Finished calls.
+        executions: Runs on servers.
+        sends: Number of requests that reached a server, refused ones included.
+        disturbances: What was wrong, and when.
+        leaves: Servers and failure domains that were leaving.
+        calm_spans: Start and end of the spans in which everything must be served.
+        process_faults: Descriptions of what processes did against their promises.
+    """
+
+    calls: list[Call] = field(default_factory=list)
+    executions: list[Execution] = field(default_factory=list)
+    sends: int = 0
+    disturbances: list[Disturbance] = field(default_factory=list)
+    leaves: list[Leave] = field(default_factory=list)
+    calm_spans: list[tuple[float, float]] = field(default_factory=list)
+    process_faults: list[str] = field(default_factory=list)
+
+    @contextlib.contextmanager
+    def disturbed(self, subject: str, cause: Cause = Cause.FAULT) -> Iterator[None]:
+        """Note that ``subject`` is disturbed within the block."""
+        entry = Disturbance(subject=subject, cause=cause, began_at=time.monotonic())
+        self.disturbances.append(entry)
+        try:
+            yield
+        finally:
+            entry.ended_at = time.monotonic()
+
+    @contextlib.contextmanager
+    def leaving(self, *, server: str = "", domain: str = "") -> Iterator[None]:
+        """Note that a server or failure domain is leaving within the block."""
+        entry = Leave(server=server, domain=domain, began_at=time.monotonic())
+        self.leaves.append(entry)
+        try:
+            yield
+        finally:
+            entry.ended_at = time.monotonic()
+
+    def disturbance_of(
+        self, subjects: set[str] | None, start: float, end: float, cause: Cause | None = None
+    ) -> bool:
+        """Whether one of ``subjects`` (any when None) was disturbed from ``start`` to ``end``."""
+        return any(
+            entry.overlaps(start, end)
+            for entry in self.disturbances
+            if (subjects is None or entry.subject in subjects)
+            and (cause is None or entry.cause is cause)
+        )
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,185 @@
+"""What must hold whatever goes wrong, checked on the observations of a run."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from soak.observations import Call, Cause, Observations, Outcome
+
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+"""Statuses that promise that the request has not run and never will."""
+
+OWN_STATUSES = NOT_RUN_STATUSES | {HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT}
+"""Statuses that gateways answer by themselves under faults."""
+
+SERVER_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.INTERNAL_SERVER_ERROR})
+
+SETTLED_S = 3.0
+"""Time without disturbance after which promises with a time bound hold, as
+``StableWindow`` in the settings."""
+
+LEAVE_BOUND_S = 3.0
+"""Time within which a leaving server or failure domain gets no new requests."""
+
+RETRY_RATIO = 0.2
+RETRY_SLACK = 62
+RETRY_WINDOW_S = 10.0
+"""Bound on repeated sends over all gateways, as in the settings."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BrokenPromise:
+    """One finding.
+
+    Attributes:
+        promise: Name of the check.
+        detail: What was seen.
+    """
+
+    promise: str
+    detail: str
+
+
+def broken_promises(seen: Observations) -> list[BrokenPromise]:
+    """Return all findings of a run."""
+    return [
+        BrokenPromise(promise=check.__name__, detail=detail)
+        for check in CHECKS
+        for detail in check(seen)
+    ]
+
+
+def non_idempotent_requests_run_at_most_once(seen: Observations) -> Iterator[str]:
+    """A request that must not be repeated has at most one execution."""
+    runs = Counter(execution.request_id for execution in seen.executions)
+    for call in seen.calls:
+        if not call.idempotent and runs[call.request_id] > 1:
+            yield f"{call.request_id} ran {runs[call.request_id]} times"
+
+
+def requests_reported_as_not_run_did_not_run(seen: Observations) -> Iterator[str]:
+    """An answer that says "not run" is true, also after it was sent."""
+    ran = {execution.request_id: execution for execution in seen.executions}
+    for call in seen.calls:
+        if call.status in NOT_RUN_STATUSES and call.request_id in ran:
+            server = ran[call.request_id].server
+            yield f"{call.request_id} was answered {call.status} but ran on {server}"
+
+
+def answers_belong_to_their_requests(seen: Observations) -> Iterator[str]:
+    """A success is the whole answer of a server that ran this very request."""
+    ran = {execution.request_id for execution in seen.executions}
+    for call in seen.calls:
+        if call.status != HTTPStatus.OK:
+            continue
+        if call.foreign:
+            yield f"{call.request_id} got a spoilt answer or that of another request"
+        elif call.request_id not in ran:
+            yield f"{call.request_id} was answered 200 but did not run"
+
+
+def bodies_arrive_whole(seen: Observations) -> Iterator[str]:
+    """No server runs a request with a part of its body or with another one."""
+    for execution in seen.executions:
+        if not execution.intact:
+            yield f"{execution.request_id} ran on {execution.server} with another body"
+
+
+def statuses_are_explicable(seen: Observations) -> Iterator[str]:
+    """Valid requests are never answered as if the caller were wrong."""
+    for call in seen.calls:
+        if call.outcome is Outcome.ANSWERED and call.status not in OWN_STATUSES | SERVER_STATUSES:
+            yield f"{call.request_id} was answered {call.status}"
+
+
+def every_request_is_answered(seen: Observations) -> Iterator[str]:
+    """A gateway that runs and is reached answers each request in time."""
+    for call in seen.calls:
+        if call.outcome is Outcome.UNANSWERED and not _gateway_failed(seen, call):
+            yield f"{call.request_id} at {call.gateway}: no answer"
+
+
+def connections_are_not_closed_on_requests(seen: Observations) -> Iterator[str]:
+    """A connection ends without an answer only for a reason that callers can know.
+
+    In a planned stop a request that crosses the closing of its connection may
+    stay unanswered if it did not run. An answer whose server breaks off midway
+    cannot be completed.
+    """
+    ran = {execution.request_id for execution in seen.executions}
+    for call in seen.calls:
+        if call.outcome is not Outcome.CLOSED or _gateway_failed(seen, call):
+            continue
+        stopping = seen.disturbance_of(
+            {call.gateway}, call.sent_at, call.ended_at, Cause.PLANNED_STOP
+        )
+        broken_off = call.received_bytes and seen.disturbance_of(None, call.sent_at, call.ended_at)
+        if not broken_off and not (stopping and call.request_id not in ran):
+            state = "ran" if call.request_id in ran else "did not run"
+            yield f"{call.request_id} at {call.gateway}: connection closed, request {state}"
+
+
+def leaving_servers_get_no_requests(seen: Observations) -> Iterator[str]:
+    """Gateways in touch with the store stop sending to what is leaving."""
+    for leave in seen.leaves:
+        for execution in seen.executions:
+            if not leave.covers(execution):
+                continue
+            if not leave.began_at + LEAVE_BOUND_S < execution.at < leave.ended_at:
+                continue
+            if not seen.disturbance_of(None, execution.at - SETTLED_S, execution.at):
+                left = execution.at - leave.began_at
+                yield f"{execution.request_id} ran on {execution.server} {left:.1f} s after"
+
+
+def retries_stay_within_their_budget(seen: Observations) -> Iterator[str]:
+    """Repeated sends of all gateways together are bounded."""
+    if not seen.calls:
+        return
+    first = min(call.sent_at for call in seen.calls)
+    last = max(call.ended_at for call in seen.calls)
+    windows = (last - first) // RETRY_WINDOW_S + 1
+    most = len(seen.calls) * (1 + RETRY_RATIO) + RETRY_SLACK * windows
+    if seen.sends > most:
+        yield f"{seen.sends} sends for {len(seen.calls)} requests"
+
+
+def calm_deployments_serve_everything(seen: Observations) -> Iterator[str]:
+    """Some time after the last fault every request succeeds again."""
+    for start, end in seen.calm_spans:
+        for call in seen.calls:
+            inside = start <= call.sent_at <= end
+            if inside and call.outcome is not Outcome.ABANDONED and call.status != HTTPStatus.OK:
+                yield f"{call.request_id} at {call.gateway}: {call.outcome.value} {call.status}"
+
+
+def processes_end_only_when_told(seen: Observations) -> Iterator[str]:
+    """Processes neither end by themselves nor outlive a planned stop."""
+    yield from seen.process_faults
+
+
+CHECKS: tuple[Callable[[Observations], Iterator[str]], ...] = (
+    non_idempotent_requests_run_at_most_once,
+    requests_reported_as_not_run_did_not_run,
+    answers_belong_to_their_requests,
+    bodies_arrive_whole,
+    statuses_are_explicable,
+    every_request_is_answered,
+    connections_are_not_closed_on_requests,
+    leaving_servers_get_no_requests,
+    retries_stay_within_their_budget,
+    calm_deployments_serve_everything,
+    processes_end_only_when_told,
+)
+
+
+def _gateway_failed(seen: Observations, call: Call) -> bool:
+    return seen.disturbance_of({call.gateway}, call.sent_at, call.ended_at, Cause.FAULT)
--- a/tests/platform/documents.py
+++ b/standins/documents.py
@@ -1,4 +1,4 @@
-"""Documents as the platform writes them."""
+"""Documents of the users' platform as their writers leave them: objects, settings."""
 
 from typing import Any
 
@@ -21,6 +21,7 @@
 
 
 def route_row(name: str, path: str, kind: str, **changes: Any) -> list[Any]:
+    """Return a route as one row of the configuration."""
     values = {
         "Name": name,
         "Host": "ring.example",
@@ -38,7 +39,12 @@
     return [{**values, **changes}[column] for column in ROUTE_COLUMNS]
 
 
-def config(version: str = "00000007", rows: list[list[Any]] | None = None) -> dict[str, Any]:
+def config(
+    version: str = "00000007",
+    rows: list[list[Any]] | None = None,
+    services: tuple[str, ...] = ("ledger",),
+) -> dict[str, Any]:
+    """Return a configuration; without ``rows``, it has two routes to one service."""
     default = [
         route_row("r-read", "/read/", "safe"),
         route_row("r-book", "/book/", "unsafe"),
@@ -48,7 +54,7 @@
         "Routes": {"Columns": ROUTE_COLUMNS, "Rows": default if rows is None else rows},
         "Services": {
             "Columns": ["Name", "HealthPath", "MaxConnections", "Warmup", "WarmupPerS"],
-            "Rows": [["ledger", "/healthz", 390, "3s", 3.5]],
+            "Rows": [[service, "/healthz", 390, "3s", 3.5] for service in services],
         },
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -60,6 +66,7 @@
 
 
 def server(**changes: Any) -> dict[str, Any]:
+    """Return the entry of a server."""
     values = {
         "Service": "ledger",
         "Address": "10.128.0.9:8080",
@@ -75,22 +82,23 @@
 
 
 SETTINGS = """
-NodeName = "front-north-a-1"
+NodeName = "{node}"
 Role = "gateway"
 Serves = ["front", "directory"]
-Ip = "127.0.0.1"
-Zone = "north-a"
-Region = "north"
+Ip = "{ip}"
+Zone = "{zone}"
+Region = "{region}"
 InternalPorts = [{peer}, {peer}]
 Bootstrap = true
 SomethingNew = 3
 [Zones]
 north-a = "north"
+north-b = "north"
 south-a = "south"
 [Listen]
-Front = "127.0.0.1:{front}"
-Ready = "127.0.0.1:{ready}"
-Directory = "127.0.0.1:{lookup}"
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Directory = "{ip}:{lookup}"
 [Limits]
 LinkMbps = 1000.0
 [Bounds]
@@ -117,7 +125,20 @@
     lookup: int = 8164,
     grace: str = "6s",
     store: str = "10.200.1.7:8169",
+    node: str = "front-north-a-1",
+    ip: str = "127.0.0.1",
+    zone: str = "north-a",
 ) -> str:
+    """Return the settings file of a gateway."""
     return SETTINGS.format(
-        peer=peer, front=front, ready=ready, lookup=lookup, grace=grace, store=store
+        peer=peer,
+        front=front,
+        ready=ready,
+        lookup=lookup,
+        grace=grace,
+        store=store,
+        node=node,
+        ip=ip,
+        zone=zone,
+        region=ZONES[zone],
     )
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -29,7 +29,12 @@
     Attributes:
         name: Its identifier.
         work_s: Time that a request takes, in seconds.
+        slots: Requests that run at the same time.
+        queue_limit: Requests that wait for a slot before others are shed; all run
+            at once when None.
         fault: What is wrong.
+        on_run: Called with the server, the request's identifier and its body when
+            a request starts to run.
         ran: Identifiers of the requests that it ran.
         cut: Identifiers of the requests whose connection closed meanwhile.
         headers: Headers of the requests that arrived.
@@ -39,6 +44,9 @@
 
     name: str
     work_s: float = 0.0
+    slots: int = 3
+    queue_limit: int | None = None
+    on_run: Callable[["PlatformServer", str, bytes], None] | None = None
     fault: ServerFault = ServerFault.NONE
     warmup_ms: int = 0
     ran: list[str] = field(default_factory=list)
@@ -46,6 +54,12 @@
     headers: list[dict[str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     probes: int = 0
+    running: int = 0
+    waiting: int = 0
+
+    def __post_init__(self) -> None:
+        """Prepare the slots."""
+        self._free_slots = asyncio.Semaphore(self.slots)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer a request."""
@@ -60,12 +74,31 @@
             return web.Response(status=421, headers={"Instance-Id": self.name})
         if self.fault is ServerFault.SHED:
             return web.Response(status=503, headers={"Not-Executed": "1"})
-        return await self._run(request)
+        body = await request.read()
+        if self.queue_limit is None:
+            return await self._run(request, body)
+        if self.waiting >= self.queue_limit:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        return await self._run_in_slot(request, body)
+
+    async def _run_in_slot(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        self.waiting += 1
+        try:
+            await self._free_slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            return await self._run(request, body)
+        finally:
+            self._free_slots.release()
 
-    async def _run(self, request: web.Request) -> web.StreamResponse:
+    async def _run(self, request: web.Request, body: bytes) -> web.StreamResponse:
         identifier = request.headers.get("Request-Id", "")
         self.ran.append(identifier)
-        self.bodies.append(await request.read())
+        self.bodies.append(body)
+        if self.on_run is not None:
+            self.on_run(self, identifier, body)
+        self.running += 1
         try:
             await asyncio.sleep(self.work_s)
             if self.fault is ServerFault.SILENT:
@@ -73,14 +106,22 @@
         except asyncio.CancelledError:
             self.cut.append(identifier)
             raise
+        finally:
+            self.running -= 1
         if self.fault is ServerFault.RESET_AFTER_RUN:
             request.transport.abort()
         if self.fault is ServerFault.FAIL:
             return web.Response(status=500, headers={"Request-Id": identifier})
-        answer = {"Request-Id": identifier, "Server-Load": "0,0,3"}
+        return self._answer(request, identifier)
+
+    def _answer(self, request: web.Request, identifier: str) -> web.Response:
+        load = f"{self.running},{self.waiting},{self.slots}"
+        headers = {"Request-Id": identifier, "Server-Load": load}
         if self.fault is not ServerFault.UNSIGNED:
-            answer["Response-Signature"] = SIGNATURE
-        return web.Response(text=f"{self.name} ran {request.path_qs}", headers=answer)
+            headers["Response-Signature"] = SIGNATURE
+        text = f"{self.name} ran {request.path_qs}"
+        size = int(request.query.get("size", "0"))
+        return web.Response(text=text.ljust(size), headers=headers)
 
     def entry(self, address: tuple[str, int], zone: str, service: str) -> dict[str, object]:
         """Return the server's entry in the store."""
@@ -89,7 +130,7 @@
             "Address": f"{address[0]}:{address[1]}",
             "Zone": zone,
             "Version": "v1",
-            "Slots": 3,
+            "Slots": self.slots,
             "State": "ready",
             "WarmupLeft": "0ms",
             "Sequence": 1,
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 FIRST_PORT = 12_000
@@ -77,11 +77,16 @@
 
 @dataclass(kw_only=True)
 class ManagedProcess:
-    """A child process whose output goes to a file."""
+    """A child process whose output goes to a file.
+
+    Attributes:
+        environment: Variables that it gets besides those of this process.
+    """
 
     name: str
     arguments: list[str]
     log: Path
+    environment: dict[str, str] = field(default_factory=dict)
     child: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -92,6 +97,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
+                env={**os.environ, **self.environment},
             )
 
     def send(self, number: signal.Signals) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,8 +6,8 @@
 from knapweeddock.gateway.records import ServerPhase
 from knapweeddock.platform.documents import decode, encode_gateway
 from knapweeddock.platform.values import DocumentError
+from standins import documents
 from tests.gateway.support import gateway
-from tests.platform import documents
 
 ZONES = documents.ZONES
 
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -10,8 +10,8 @@
 
 from knapweeddock.logs import configure_logs
 from knapweeddock.requeststory import RequestStory, parse_line, tell
+from standins import documents
 from standins.platformserver import ServerFault
-from tests.platform import documents
 from tests.platform.world import World, running_world
 from tests.waiting import until
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -3,8 +3,8 @@
 import msgspec
 import pytest
 
+from standins import documents
 from standins.platformserver import ServerFault
-from tests.platform import documents
 from tests.platform.world import read_reply, request_bytes, running_world
 from tests.waiting import until
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -8,9 +8,9 @@
 import pytest
 
 from knapweeddock.platform.settings import SETTINGS_VARIABLE
+from standins import documents
 from standins.metastore import running_metastore
 from standins.platformserver import running_server
-from tests.platform import documents
 from tests.platform.world import free_port, read_reply, request_bytes
 from tests.waiting import until
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,7 +2,7 @@
 
 from knapweeddock.errors import ConfigError
 from knapweeddock.platform.settings import load
-from tests.platform.documents import settings_text
+from standins.documents import settings_text
 
 
 def test_settings(tmp_path):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,9 +11,9 @@
 )
 from knapweeddock.gateway.catalog import Topic
 from knapweeddock.platform.store import StoreCatalog, store_http
+from standins import documents
 from standins.metastore import PAGE, StoreFault, running_metastore
 from tests.gateway.support import gateway
-from tests.platform import documents
 
 
 @contextlib.asynccontextmanager
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -12,10 +12,10 @@
 from knapweeddock.platform.settings import load
 from knapweeddock.platform.store import StoreCatalog, store_http
 from knapweeddock.platform.wire import PlatformWire
+from standins import documents
 from standins.metastore import MetaStore, running_metastore
 from standins.platformserver import PlatformServer, running_server
 from tests.http1.scripted import read_head
-from tests.platform import documents
 from tests.waiting import until
 
 
--- /dev/null
+++ b/tests/soak/test_main.py
@@ -0,0 +1,19 @@
+import pytest
+
+from soak.__main__ import parse_arguments, recorded_seeds, seeds_of
+
+
+def test_seeds_follow_the_first_one():
+    assert list(seeds_of(parse_arguments(["--seed", "5", "--seeds", "3"]))) == [5, 6, 7]
+
+
+def test_recorded_seeds_are_those_of_the_file():
+    """A seed that failed once must be run again."""
+    assert recorded_seeds()
+    assert list(seeds_of(parse_arguments(["--recorded"]))) == recorded_seeds()
+
+
+@pytest.mark.parametrize("arguments", [[], ["--seed", "1", "--recorded"], ["--seed", "x"]])
+def test_unclear_options_are_refused(arguments):
+    with pytest.raises(SystemExit):
+        parse_arguments(arguments)
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,128 @@
+"""Each check of the soak must find the failure that it is for, and nothing else."""
+
+import pytest
+
+from soak import promises
+from soak.observations import Call, Cause, Disturbance, Execution, Leave, Observations, Outcome
+
+START = 100.0
+
+
+def call(request_id="a", **changes) -> Call:
+    values = {
+        "request_id": request_id,
+        "gateway": "front-0",
+        "idempotent": False,
+        "sent_at": START,
+        "ended_at": START + 1,
+        "outcome": Outcome.ANSWERED,
+        "status": 200,
+        "received_bytes": 100,
+    }
+    return Call(**{**values, **changes})
+
+
+def run(request_id="a", **changes) -> Execution:
+    values = {
+        "request_id": request_id,
+        "server": "i-0",
+        "service": "ledger",
+        "domain": "north-a",
+        "at": START,
+        "intact": True,
+    }
+    return Execution(**{**values, **changes})
+
+
+def disturbance(subject="front-0", cause=Cause.FAULT, start=START, end=START + 1) -> Disturbance:
+    return Disturbance(subject=subject, cause=cause, began_at=start, ended_at=end)
+
+
+def seen(calls=(), runs=(), disturbances=(), **others) -> Observations:
+    return Observations(
+        calls=list(calls), executions=list(runs), disturbances=list(disturbances), **others
+    )
+
+
+def names(observations: Observations) -> list[str]:
+    return [finding.promise for finding in promises.broken_promises(observations)]
+
+
+CLOSED = {"outcome": Outcome.CLOSED, "status": 0, "received_bytes": 0}
+UNANSWERED = {"outcome": Outcome.UNANSWERED, "status": 0, "received_bytes": 0}
+STOPPING = disturbance(cause=Cause.PLANNED_STOP)
+
+
+@pytest.mark.parametrize(
+    ("observations", "promise"),
+    [
+        (
+            seen([call()], [run(), run(server="i-1")]),
+            "non_idempotent_requests_run_at_most_once",
+        ),
+        (seen([call(status=503)], [run()]), "requests_reported_as_not_run_did_not_run"),
+        (seen([call(foreign=True)], [run()]), "answers_belong_to_their_requests"),
+        (seen([call()]), "answers_belong_to_their_requests"),
+        (seen([call()], [run(intact=False)]), "bodies_arrive_whole"),
+        (seen([call(status=404)]), "statuses_are_explicable"),
+        (seen([call(**UNANSWERED)]), "every_request_is_answered"),
+        (
+            seen([call(**UNANSWERED)], disturbances=[disturbance("front-1")]),
+            "every_request_is_answered",
+        ),
+        (seen([call(**CLOSED)]), "connections_are_not_closed_on_requests"),
+        (
+            seen([call(**CLOSED)], [run()], [STOPPING]),
+            "connections_are_not_closed_on_requests",
+        ),
+        (
+            seen([call(**CLOSED)], [run()], [disturbance("i-0")]),
+            "connections_are_not_closed_on_requests",
+        ),
+        (
+            seen(runs=[run(at=START + 4)], leaves=[Leave(server="i-0", began_at=START)]),
+            "leaving_servers_get_no_requests",
+        ),
+        (
+            seen(runs=[run(at=START + 4)], leaves=[Leave(domain="north-a", began_at=START)]),
+            "leaving_servers_get_no_requests",
+        ),
+        (seen([call()], [run()], sends=64), "retries_stay_within_their_budget"),
+        (
+            seen([call(status=502)], calm_spans=[(START, START + 1)]),
+            "calm_deployments_serve_everything",
+        ),
+        (seen(process_faults=["front-0 ended"]), "processes_end_only_when_told"),
+    ],
+)
+def test_broken_promise_is_found(observations, promise):
+    assert names(observations) == [promise]
+
+
+@pytest.mark.parametrize(
+    "observations",
+    [
+        seen([call()], [run()], sends=1),
+        seen([call(idempotent=True)], [run(), run(server="i-1")], sends=2),
+        seen([call(status=503)]),
+        seen([call(status=502)], [run()]),
+        seen([call(**UNANSWERED)], disturbances=[disturbance()]),
+        seen([call(**CLOSED)], [run()], [disturbance()]),
+        seen([call(**CLOSED)], disturbances=[STOPPING]),
+        seen([call(**{**CLOSED, "received_bytes": 9})], [run()], [disturbance("i-0")]),
+        seen(runs=[run(at=START + 2)], leaves=[Leave(server="i-0", began_at=START)]),
+        seen(runs=[run(at=START + 4)], leaves=[Leave(server="i-1", began_at=START)]),
+        seen(
+            runs=[run(at=START + 9)],
+            leaves=[Leave(server="i-0", began_at=START)],
+            disturbances=[disturbance("store", start=START, end=START + 7)],
+        ),
+        seen([call(status=502)], calm_spans=[(START + 1, START + 2)]),
+    ],
+)
+def test_what_is_allowed_is_no_finding(observations):
+    assert names(observations) == []
+
+
+def test_every_check_has_a_name_that_says_its_promise():
+    assert len({check.__name__ for check in promises.CHECKS}) == len(promises.CHECKS)
