Show the state of a deployment of gateways with knapweed status

Cause: operators had no command that says which configuration is in force on which gateway; status read the object API and look-up processes only.

Ruled out: versions in the registrations, which would be a write to the store for each gateway and change.

Tests: report of gateways that are behind or silent, of a store that is away, gauges of a running gateway.

--- a/knapweeddock/cli.py
+++ b/knapweeddock/cli.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import Annotated
 
+import aiohttp
 import msgspec
 import structlog
 from cyclopts import App, CycloptsError, Parameter
@@ -21,9 +22,12 @@
 from knapweeddock.drains import Targets
 from knapweeddock.errors import ConfigError, KnapweedError
 from knapweeddock.explain import Request
+from knapweeddock.fleetstatus import FleetReport, HttpMetricsSource, fleet_status
 from knapweeddock.httpstore import HttpObjectStore
 from knapweeddock.ids import FailureDomainId, RequestId, ServerId, SiteId, Version, VmId
 from knapweeddock.objectstore import ObjectStore
+from knapweeddock.platform.settings import load
+from knapweeddock.platform.store import StoreCatalog, store_http
 from knapweeddock.porcelain import Session
 from knapweeddock.render import render
 from knapweeddock.reports import ErrorReport, Report
@@ -152,12 +156,18 @@
 
 
 @app.command
-def status(*, connection: Connection = DEFAULT_CONNECTION) -> int:
-    """Show the configuration's version, the newest changes, the drains and the members.
+def status(
+    *, gateway_settings: Path | None = None, connection: Connection = DEFAULT_CONNECTION
+) -> int:
+    """Show the configuration's version, what is drained, and the members or gateways.
 
     Args:
+        gateway_settings: Settings file of a gateway; its store and all registered
+            gateways are asked in place of the object API.
         connection: Which system the command works on.
     """
+    if gateway_settings is not None:
+        return _run(_fleet_status(gateway_settings), connection)
     return _run_session(connection, porcelain.status)
 
 
@@ -242,6 +252,17 @@
     return _run(with_session(), connection)
 
 
+async def _fleet_status(path: Path) -> FleetReport:
+    settings = load(path)
+    catalog = StoreCatalog(http=store_http(settings.store.address), regions=settings.regions)
+    try:
+        async with aiohttp.ClientSession() as session:
+            metrics = HttpMetricsSource(session=session, port=settings.metrics[1])
+            return await fleet_status(catalog, metrics)
+    finally:
+        await catalog.close()
+
+
 def _open_store(url: str) -> ObjectStore:
     if not re.match(r"https?://.", url):
         raise ConfigError(
--- a/knapweeddock/render.py
+++ b/knapweeddock/render.py
@@ -6,6 +6,7 @@
 from knapweeddock.changes import Change, Document
 from knapweeddock.codes import CODE_INFO, ResultCode
 from knapweeddock.explain import DomainStep, Explanation, SiteStep
+from knapweeddock.fleetstatus import FleetReport, GatewayStatus
 from knapweeddock.problems import Path, format_path, show
 from knapweeddock.reports import (
     ChangeReport,
@@ -34,6 +35,8 @@
             yield from _diff_lines(report)
         case StatusReport():
             yield from _status_lines(report)
+        case FleetReport():
+            yield from _fleet_lines(report)
         case Explanation():
             yield from _explanation_lines(report)
         case RequestStory():
@@ -167,6 +170,32 @@
     return {part: names for part, names in parts.items() if any(names.values())}
 
 
+def _fleet_lines(report: FleetReport) -> Iterator[str]:
+    for error in report.errors:
+        yield f"unavailable: {error}"
+    if report.version is not None:
+        yield f"configuration version {report.version:08x}"
+    for domain in report.evacuated:
+        yield f"evacuated: {domain}"
+    for service in report.services:
+        yield (
+            f"{service.service} in {service.failure_domain}: {service.ready} servers ready,"
+            f" {service.slots} slots, {service.draining} draining"
+        )
+    yield f"{len(report.gateways)} gateways, {len(report.behind)} behind"
+    for gateway in report.gateways:
+        mark = " (behind)" if gateway in report.behind else ""
+        yield f"  {_gateway(gateway)}{mark}"
+
+
+def _gateway(status: GatewayStatus) -> str:
+    where = f"{status.vm} in {status.failure_domain}"
+    if status.error:
+        return f"{where}, unavailable: {status.error}"
+    age = "unknown" if status.store_age_s is None else f"{status.store_age_s:.1f} s old"
+    return f"{where}, version {status.version:08x}, view of the store {age}"
+
+
 def _explanation_lines(report: Explanation) -> Iterator[str]:
     request = report.request
     yield f"{request.method} {request.host}{request.path} from {request.client}"
--- a/knapweeddock/reports.py
+++ b/knapweeddock/reports.py
@@ -6,6 +6,7 @@
 from knapweeddock.changes import Change, Document
 from knapweeddock.codes import ResultCode
 from knapweeddock.explain import Explanation
+from knapweeddock.fleetstatus import FleetReport
 from knapweeddock.ids import ChangeId, Version
 from knapweeddock.model import Drains
 from knapweeddock.requeststory import RequestStory
@@ -156,6 +157,7 @@
     | ChangeReport
     | DiffReport
     | StatusReport
+    | FleetReport
     | Explanation
     | RequestStory
     | ErrorReport
