Log stalls of a gateway, and excuse late answers in the soak by them only

The gateways' lines say remaining_s -1.6 to -3.1: timers fired up to three seconds late. The machine had a load of 25 on six cores and its kernel reported processors stuck for up to 35 s. Nothing in the gateway's log told that its process had not run.

Change: the gateway compares its regular work with its interval and logs 'process stalled' with the processor time that it used meanwhile, and serves the sum as a metric. The soak reads these lines: a stall without processor time is a disturbance of that gateway, one with it is a finding.

Tests: stall watch, stalls in logs, the promises with them.

--- a/knapweeddock/gateway/metrics.py
+++ b/knapweeddock/gateway/metrics.py
@@ -49,6 +49,7 @@
         probes: Probes sent since the start.
         retries_left: Retries that the budget allows now, by service.
         lines_left_out: Log lines about requests that were not written.
+        stalled_s: Seconds for which the process did not run since its start.
     """
 
     config_version: int
@@ -62,6 +63,7 @@
     probes: int
     retries_left: dict[str, int]
     lines_left_out: int
+    stalled_s: float
 
 
 class GatewayMetrics:
@@ -96,6 +98,9 @@
         self.left_out = process.gauge(
             "knapweed_log_lines_left_out", "Log lines that were not written."
         )
+        self.stalled = process.gauge(
+            "knapweed_stalled_seconds", "Time for which the process did not run."
+        )
         self.endings: Counter[Ending] = Counter()
         self.ends: Counter[AttemptEnd] = Counter()
         self.durations: dict[RouteId, Histogram] = {}
@@ -137,3 +142,4 @@
         for service, left in state.retries_left.items():
             self.retries.set({"service": service}, left)
         self.left_out.set({}, state.lines_left_out)
+        self.stalled.set({}, round(state.stalled_s, 3))
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -31,6 +31,7 @@
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.sourcing import StoreSource
+from knapweeddock.gateway.stalls import StallWatch
 from knapweeddock.gateway.view import View
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.gateway.worktimes import WorkTimes
@@ -86,6 +87,9 @@
         self.metrics.process.before_reading = self._show_state
         self.decisions = DecisionLog(metrics=self.metrics)
         self.prober = Prober(view=self.view, wire=wire)
+        self.stalls = StallWatch(
+            interval_s=UPKEEP_S, now=time.monotonic(), processor_s=time.process_time()
+        )
         self._pool_revision = -1
         self._build_coordination()
         self._build_forwarding()
@@ -263,6 +267,7 @@
     async def _keep_up(self) -> None:
         while True:
             now = time.monotonic()
+            self._note_stall(now)
             if self.phase is GatewayPhase.STARTING and self.view.is_complete:
                 self.phase = GatewayPhase.SERVING
                 log.info("serving", version=self.view.config.version)
@@ -276,6 +281,15 @@
                 self.pool.keep_only(fleet.servers)
             await asyncio.sleep(UPKEEP_S)
 
+    def _note_stall(self, now: float) -> None:
+        stall = self.stalls.observe(now, time.process_time())
+        if stall is not None:
+            log.warning(
+                "process stalled",
+                stall_s=round(stall.stall_s, 3),
+                processor_s=round(stall.processor_s, 3),
+            )
+
     async def drain(self) -> None:
         """Let clients leave, finish what runs, and end within the time for a stop."""
         started_at = time.monotonic()
@@ -331,6 +345,7 @@
                 probes=self.prober.sent,
                 retries_left=self.judgement.retries_left(),
                 lines_left_out=self.decisions.left_out,
+                stalled_s=self.stalls.stalled_s,
             )
         )
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,6 +65,7 @@
     print(f"seed {result.plan.seed}: {len(result.seen.calls)} calls, {result.seen.sends} sends")
     print("  faults: " + ", ".join(f"{name} {count}" for name, count in sorted(kinds.items())))
     print("  calls: " + ", ".join(f"{name} {count}" for name, count in sorted(outcomes.items())))
+    print(f"  stalls of processes: {result.seen.stalls}")
     for finding in result.broken[:MOST_FINDINGS]:
         print(f"  BROKEN {finding.promise}: {finding.detail}")
     if len(result.broken) > MOST_FINDINGS:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,7 +13,8 @@
 from knapweeddock.platform.settings import SETTINGS_VARIABLE
 from soak.faults import Size
 from soak.links import Link, running_link
-from soak.observations import Cause, Execution, Observations
+from soak.observations import Cause, Execution, Observations, PlannedStop
+from soak.promises import GRACE_S
 from standins import documents
 from standins.metastore import MetaStore, running_metastore
 from standins.platformserver import PlatformServer
@@ -28,10 +29,6 @@
 LAPSE_S = 1.5
 """Time in seconds after which the entry of a server that has crashed lapses."""
 
-GRACE_S = 2.0
-STOP_MARGIN_S = 3.0
-"""Time in seconds beyond the limit of a planned stop that a busy machine may add."""
-
 POLL_S = 0.02
 
 
@@ -127,14 +124,17 @@
         self.front = front
         self.store_link = store_link
         self.seen = seen
+        self._listens = False
         self._ending: Cause | None = None
         self._down_s = 0.0
 
     async def supervise(self) -> None:
         """Start the process, and again each time when it has ended."""
         self.process.start()
+        await self.listening()
         while True:
             await _until(lambda: not self.process.running)
+            self._listens = False
             with self.seen.disturbed(self.name, self._ending or Cause.FAULT):
                 self._check_end()
                 await asyncio.sleep(self._down_s)
@@ -151,8 +151,12 @@
             await self._started_again()
 
     async def stop(self, down_s: float) -> None:
-        """Ask the process to end and wait until it runs again."""
-        if self._ending is not None:
+        """Ask the process to end and wait until it runs again.
+
+        A process that is still starting is left alone: it ends by the signal
+        before it has taken a request.
+        """
+        if self._ending is not None or not self._listens:
             return
         child = self.process.child
         self._ending = Cause.PLANNED_STOP
@@ -161,7 +165,9 @@
         with self.seen.disturbed(self.name, Cause.PLANNED_STOP):
             self.process.send(signal.SIGTERM)
             await _until(lambda: child.poll() is not None)
-            self._check_duration(asked_at, time.monotonic())
+            self.seen.planned_stops.append(
+                PlannedStop(gateway=self.name, asked_at=asked_at, ended_at=time.monotonic())
+            )
             await self._started_again()
 
     async def _started_again(self) -> None:
@@ -188,6 +194,7 @@
                 await asyncio.sleep(POLL_S)
                 continue
             writer.close()
+            self._listens = True
             return
 
     def _check_end(self) -> None:
@@ -198,12 +205,6 @@
             case Cause.PLANNED_STOP if status != 0:
                 self._fault(f"ended a planned stop with status {status}")
 
-    def _check_duration(self, asked_at: float, ended_at: float) -> None:
-        failed = self.seen.disturbance_of({self.name}, asked_at, ended_at, Cause.FAULT)
-        took_s = ended_at - asked_at
-        if took_s > GRACE_S + STOP_MARGIN_S and not failed:
-            self._fault(f"took {took_s:.1f} s for a planned stop")
-
     def _fault(self, text: str) -> None:
         self.seen.process_faults.append(f"{self.name} {text}")
 
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -7,6 +7,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+SOAK = "soak"
+"""Subject of disturbances of the soak itself, which runs store, servers and callers."""
+
 
 class Outcome(Enum):
     """How a call ended for its caller."""
@@ -107,6 +110,15 @@
         return execution.server == self.server or execution.domain == self.domain
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannedStop:
+    """A SIGTERM and the end of the process, at monotonic times in seconds."""
+
+    gateway: str
+    asked_at: float
+    ended_at: float
+
+
 @dataclass(kw_only=True)
 class Observations:
     """Everything that was seen in a run.
@@ -117,7 +129,9 @@
         sends: Number of requests that reached a server, refused ones included.
         disturbances: What was wrong, and when.
         leaves: Servers and failure domains that were leaving.
+        planned_stops: Planned stops of gateways.
         calm_spans: Start and end of the spans in which everything must be served.
+        stalls: Number of stalls of processes, by lack of processor time.
         process_faults: Descriptions of what processes did against their promises.
     """
 
@@ -126,7 +140,9 @@
     sends: int = 0
     disturbances: list[Disturbance] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
+    planned_stops: list[PlannedStop] = field(default_factory=list)
     calm_spans: list[tuple[float, float]] = field(default_factory=list)
+    stalls: int = 0
     process_faults: list[str] = field(default_factory=list)
 
     @contextlib.contextmanager
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from soak.observations import Call, Cause, Observations, Outcome
+from soak.observations import SOAK, Call, Cause, Observations, Outcome
 
 NOT_RUN_STATUSES = frozenset(
     {
@@ -29,6 +29,12 @@
 LEAVE_BOUND_S = 3.0
 """Time within which a leaving server or failure domain gets no new requests."""
 
+GRACE_S = 2.0
+"""Time in seconds that the settings give to a planned stop."""
+
+STOP_MARGIN_S = 3.0
+"""Time in seconds beyond it that a busy machine may add."""
+
 RETRY_RATIO = 0.2
 RETRY_SLACK = 62
 RETRY_WINDOW_S = 10.0
@@ -156,13 +162,23 @@
     """Some time after the last fault every request succeeds again."""
     for start, end in seen.calm_spans:
         for call in seen.calls:
-            inside = start <= call.sent_at <= end
-            if inside and call.outcome is not Outcome.ABANDONED and call.status != HTTPStatus.OK:
+            if not start <= call.sent_at <= end or call.outcome is Outcome.ABANDONED:
+                continue
+            if call.status != HTTPStatus.OK and not _gateway_failed(seen, call):
                 yield f"{call.request_id} at {call.gateway}: {call.outcome.value} {call.status}"
 
 
-def processes_end_only_when_told(seen: Observations) -> Iterator[str]:
-    """Processes neither end by themselves nor outlive a planned stop."""
+def planned_stops_end_in_time(seen: Observations) -> Iterator[str]:
+    """A process that runs ends within the time for a stop."""
+    for stop in seen.planned_stops:
+        took_s = stop.ended_at - stop.asked_at
+        failed = seen.disturbance_of({stop.gateway}, stop.asked_at, stop.ended_at, Cause.FAULT)
+        if took_s > GRACE_S + STOP_MARGIN_S and not failed:
+            yield f"{stop.gateway} took {took_s:.1f} s"
+
+
+def processes_do_nothing_unasked(seen: Observations) -> Iterator[str]:
+    """Processes neither end by themselves nor fail at what they are asked for."""
     yield from seen.process_faults
 
 
@@ -177,9 +193,11 @@
     leaving_servers_get_no_requests,
     retries_stay_within_their_budget,
     calm_deployments_serve_everything,
-    processes_end_only_when_told,
+    planned_stops_end_in_time,
+    processes_do_nothing_unasked,
 )
 
 
 def _gateway_failed(seen: Observations, call: Call) -> bool:
-    return seen.disturbance_of({call.gateway}, call.sent_at, call.ended_at, Cause.FAULT)
+    """Whether the gateway, or the soak with its servers, could not do its work."""
+    return seen.disturbance_of({call.gateway, SOAK}, call.sent_at, call.ended_at, Cause.FAULT)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,12 +9,14 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from knapweeddock.gateway.service import UPKEEP_S
 from soak.callers import Caller, Request, read_reply
 from soak.deployment import Deployment, running_deployment
 from soak.faults import DrainServer, PlannedFault, Size, draw_round
 from soak.injection import apply_fault
 from soak.observations import Observations
 from soak.promises import BrokenPromise, broken_promises
+from soak.stalls import note_logged_stalls, watch_own_stalls
 
 RECOVERY_LIMIT_S = 30.0
 """Time in seconds after the last fault within which every gateway must serve."""
@@ -83,6 +85,7 @@
         seen.sends = sum(host.sends for host in deployment.servers)
         await asyncio.gather(*(gateway.stop(0.0) for gateway in deployment.gateways))
     seen.process_faults += _tracebacks(folder)
+    note_logged_stalls(seen, folder, UPKEEP_S)
     return SoakResult(plan=plan, drawn=drawn, seen=seen, broken=broken_promises(seen))
 
 
@@ -91,7 +94,8 @@
     """Let callers send within the block."""
     fronts = {gateway.name: gateway.front.address for gateway in deployment.gateways}
     async with asyncio.TaskGroup() as group:
-        tasks = [
+        tasks = [group.create_task(watch_own_stalls(deployment.seen))]
+        tasks += [
             group.create_task(
                 Caller(
                     name=f"c{number}",
