Remove the registrations of gateways that are gone for good

Cause: a gateway keeps its registration over restarts and nothing removed that of a VM that never comes back. Such registrations got heartbeats for ever and divided the retry budget, the parts of cold servers and the connections per server by gateways that do not exist.

Change: the gateway of a region that watches the store removes a registration after ten minutes without heartbeats if its gateway does not accept connections either. A gateway whose own registration is missing writes it again.

Ruled out: removal at a planned stop, since most stops are restarts and the others' parts would grow meanwhile; removal by heartbeats alone, which may be lost in one direction.

Tests: tests/gateway/test_registrations.py.

--- a/knapweeddock/gateway/catalog.py
+++ b/knapweeddock/gateway/catalog.py
@@ -118,13 +118,14 @@
         down: Whether every call fails.
         deaf: Whether watches hear of nothing.
         calls: Number of calls.
+        objects: All objects by topic and name.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.deaf = False
         self.calls = 0
-        self._objects: dict[Topic, dict[str, Item]] = {topic: {} for topic in Topic}
+        self.objects: dict[Topic, dict[str, Item]] = {topic: {} for topic in Topic}
         self._history: list[tuple[int, Topic, Change]] = []
         self._oldest = 0
         self._revision = 1
@@ -133,12 +134,12 @@
 
     def put(self, topic: Topic, name: str, item: Item) -> None:
         """Write an object."""
-        self._objects[topic][name] = item
+        self.objects[topic][name] = item
         self._record(topic, Change(name=name, item=item))
 
     def remove(self, topic: Topic, name: str) -> None:
         """Remove an object."""
-        self._objects[topic].pop(name, None)
+        self.objects[topic].pop(name, None)
         self._record(topic, Change(name=name, item=None))
 
     def forget_history(self) -> None:
@@ -154,7 +155,7 @@
     async def snapshot(self, topic: Topic) -> Snapshot:
         """Return all objects of ``topic``."""
         self._admit()
-        return Snapshot(items=dict(self._objects[topic]), revision=Revision(self._revision))
+        return Snapshot(items=dict(self.objects[topic]), revision=Revision(self._revision))
 
     async def changes(self, topic: Topic, revision: Revision, wait_s: float) -> Changes:
         """Wait for changes of ``topic`` after ``revision``."""
--- /dev/null
+++ b/knapweeddock/gateway/registrations.py
@@ -0,0 +1,132 @@
+"""Keeps the registrations of gateways in the store true.
+
+A gateway keeps its registration over restarts, so a VM that never comes back
+leaves one behind. The gateways of a region that watch the store remove it after
+a time without any sign of life; a gateway whose own registration is missing
+writes it again.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Collection, Mapping
+
+import structlog
+
+from knapweeddock.errors import StoreError
+from knapweeddock.gateway.catalog import Catalog
+from knapweeddock.gateway.records import Address, GatewayEntry
+from knapweeddock.ids import VmId
+
+log = structlog.get_logger(__name__)
+
+GONE_S = 600.0
+"""Time in seconds without a sign of life after which a gateway counts as gone for
+good; restarts and outages of a network are shorter."""
+
+CHECK_S = 30.0
+REGISTER_RETRY_S = 0.5
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Departures:
+    """Decides which registered gateways are gone for good."""
+
+    def __init__(self) -> None:
+        self._silent_since: dict[VmId, float] = {}
+
+    def due(self, now: float, registered: Collection[VmId], alive: Collection[VmId]) -> list[VmId]:
+        """Return the gateways that were silent for ``GONE_S``.
+
+        Args:
+            now: Monotonic time in seconds.
+            registered: Registered gateways that this one watches over.
+            alive: Gateways whose heartbeats arrive.
+        """
+        self._silent_since = {
+            vm: self._silent_since.get(vm, now) for vm in registered if vm not in alive
+        }
+        return sorted(vm for vm, since in self._silent_since.items() if now - since >= GONE_S)
+
+    def seen(self, vm: VmId) -> None:
+        """Take a sign of life that is no heartbeat."""
+        self._silent_since.pop(vm, None)
+
+
+class Registrations:
+    """Writes the own registration and removes those of gateways that are gone.
+
+    Attributes:
+        own: The own registration.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: GatewayEntry,
+        catalog: Catalog,
+        gateways: Callable[[], Mapping[VmId, GatewayEntry]],
+        alive: Callable[[], Collection[VmId]],
+        watches: Callable[[], bool],
+        rng: random.Random,
+    ) -> None:
+        self.own = own
+        self.catalog = catalog
+        self.gateways = gateways
+        self.alive = alive
+        self.watches = watches
+        self.rng = rng
+        self.departures = Departures()
+
+    async def run(self) -> None:
+        """Register, then check all registrations until cancelled."""
+        await self.register()
+        while True:
+            await asyncio.sleep(CHECK_S * (0.8 + 0.4 * self.rng.random()))
+            await self.check(time.monotonic())
+
+    async def register(self) -> None:
+        """Write the own registration, again until the store has taken it."""
+        while True:
+            try:
+                await self.catalog.register(self.own)
+            except StoreError as error:
+                log.warning("registration failed", reason=str(error))
+                await asyncio.sleep(REGISTER_RETRY_S * (0.5 + self.rng.random()))
+            else:
+                log.info("registered", vm=self.own.vm)
+                return
+
+    async def check(self, now: float) -> None:
+        """Compare the registrations with what is known of the gateways."""
+        if not self.watches():
+            return
+        gateways = self.gateways()
+        if self.own.vm not in gateways:
+            log.warning("own registration is missing", vm=self.own.vm)
+            await self.register()
+        near = [vm for vm, entry in gateways.items() if entry.region == self.own.region]
+        for vm in self.departures.due(now, near, self.alive()):
+            if await _accepts_connections(gateways[vm].peer_address):
+                self.departures.seen(vm)
+            else:
+                await self._remove(vm)
+
+    async def _remove(self, vm: VmId) -> None:
+        try:
+            await self.catalog.unregister(vm)
+        except StoreError as error:
+            log.warning("registration not removed", gateway=vm, reason=str(error))
+        else:
+            log.info("registration removed", gateway=vm, silent_s=GONE_S)
+
+
+async def _accepts_connections(address: Address) -> bool:
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(*address)
+    except (OSError, TimeoutError) as error:
+        log.info("gateway cannot be reached", address=address[0], reason=str(error) or "timeout")
+        return False
+    writer.close()
+    return True
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -10,7 +10,6 @@
 
 import structlog
 
-from knapweeddock.errors import StoreError
 from knapweeddock.gateway import coldstart, lookups
 from knapweeddock.gateway.attempt import Attempts
 from knapweeddock.gateway.catalog import Catalog
@@ -26,6 +25,7 @@
 from knapweeddock.gateway.placement import Placement
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
+from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, relay_port
 from knapweeddock.gateway.serverpool import ServerPool
 from knapweeddock.gateway.settings import GatewaySettings
@@ -56,7 +56,6 @@
 """Part of the time for a stop after which the process ends whatever runs."""
 
 DRAIN_POLL_S = 0.05
-REGISTER_RETRY_S = 0.5
 
 
 class Gateway:
@@ -128,6 +127,14 @@
             address_of=self.peers.address_of,
             rng=self.rng,
         )
+        self.registrations = Registrations(
+            own=self._own_entry(),
+            catalog=self.catalog,
+            gateways=lambda: self.view.gateways,
+            alive=lambda: self.peers.near(time.monotonic()),
+            watches=lambda: self.source.direct and self.source.connected,
+            rng=self.rng,
+        )
         self.demand = Demand(
             region=self.settings.region,
             gateways=lambda: self.view.gateways.values(),
@@ -137,6 +144,17 @@
             heartbeats=lambda: self.peers.alive(time.monotonic()),
         )
 
+    def _own_entry(self) -> GatewayEntry:
+        settings = self.settings
+        return GatewayEntry(
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            front_address=settings.front,
+            peer_address=settings.peer,
+        )
+
     def _build_forwarding(self) -> None:
         bounds = self.settings.bounds
         self.judgement = Judgement(
@@ -211,7 +229,11 @@
         async with self._open_ports():
             log.info("gateway started", vm=self.settings.vm, incarnation=self.incarnation)
             async with _background(
-                self.source.run, self.relay.run, self.peers.run, self._register, self._keep_up
+                self.source.run,
+                self.relay.run,
+                self.peers.run,
+                self.registrations.run,
+                self._keep_up,
             ):
                 await stop.wait()
                 await self.drain()
@@ -243,27 +265,6 @@
                 log.error("metrics are not served", reason=str(error))
             yield
 
-    async def _register(self) -> None:
-        """Announce this gateway, again until the store has taken it."""
-        settings = self.settings
-        entry = GatewayEntry(
-            vm=settings.vm,
-            incarnation=self.incarnation,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            front_address=settings.front,
-            peer_address=settings.peer,
-        )
-        while True:
-            try:
-                await self.catalog.register(entry)
-            except StoreError as error:
-                log.warning("registration failed", reason=str(error))
-                await asyncio.sleep(REGISTER_RETRY_S * (0.5 + self.rng.random()))
-            else:
-                log.info("registered", vm=settings.vm)
-                return
-
     async def _keep_up(self) -> None:
         while True:
             now = time.monotonic()
--- /dev/null
+++ b/tests/gateway/test_registrations.py
@@ -0,0 +1,132 @@
+import asyncio
+import random
+
+import pytest
+
+from knapweeddock.gateway import registrations
+from knapweeddock.gateway.catalog import MemoryCatalog, Topic
+from knapweeddock.gateway.registrations import GONE_S, Departures, Registrations
+from tests.gateway.support import gateway
+
+START = 1000.0
+
+
+def test_gateway_that_stays_silent_is_gone():
+    departures = Departures()
+    assert departures.due(START, ["a", "b"], ["a"]) == []
+    assert departures.due(START + GONE_S - 1, ["a", "b"], ["a"]) == []
+    assert departures.due(START + GONE_S, ["a", "b"], ["a"]) == ["b"]
+
+
+def test_any_heartbeat_starts_the_time_anew():
+    """A gateway that restarts now and then must keep its registration."""
+    departures = Departures()
+    departures.due(START, ["b"], [])
+    departures.due(START + GONE_S - 1, ["b"], ["b"])
+    assert departures.due(START + GONE_S + 1, ["b"], []) == []
+
+
+def test_other_sign_of_life_starts_the_time_anew():
+    departures = Departures()
+    departures.due(START, ["b"], [])
+    departures.seen("b")
+    assert departures.due(START + GONE_S, ["b"], []) == []
+
+
+def test_registration_that_returns_is_new():
+    departures = Departures()
+    departures.due(START, ["b"], [])
+    departures.due(START + 10, [], [])
+    assert departures.due(START + GONE_S, ["b"], []) == []
+
+
+class Case:
+    """Registrations of gateway ``a`` over a catalog in memory."""
+
+    def __init__(self) -> None:
+        self.catalog = MemoryCatalog()
+        self.alive = ["a"]
+        self.watching = True
+        self.registrations = Registrations(
+            own=gateway("a"),
+            catalog=self.catalog,
+            gateways=self.registered,
+            alive=lambda: self.alive,
+            watches=lambda: self.watching,
+            rng=random.Random(1),
+        )
+
+    def registered(self):
+        return dict(self.catalog.objects[Topic.GATEWAYS])
+
+    def put(self, name: str, **changes) -> None:
+        self.catalog.put(Topic.GATEWAYS, name, gateway(name, **changes))
+
+    async def check_over_time(self) -> None:
+        await self.registrations.check(START)
+        await self.registrations.check(START + GONE_S)
+
+
+@pytest.fixture
+def case():
+    case = Case()
+    case.put("a")
+    return case
+
+
+async def test_registration_of_a_vm_that_is_gone_is_removed(case, unused_tcp_port):
+    """Registrations of replaced VMs would divide the retry budget ever further."""
+    case.put("b", peer_address=("127.0.0.1", unused_tcp_port))
+    await case.check_over_time()
+    assert sorted(case.registered()) == ["a"]
+
+
+async def test_gateway_that_still_accepts_connections_stays(case):
+    """Lost heartbeats alone are no evidence that a gateway is gone."""
+    server = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
+    async with server:
+        case.put("b", peer_address=server.sockets[0].getsockname())
+        await case.check_over_time()
+        assert sorted(case.registered()) == ["a", "b"]
+
+
+async def test_other_regions_are_left_to_their_own_gateways(case, unused_tcp_port):
+    case.put("b", region="far", peer_address=("127.0.0.1", unused_tcp_port))
+    await case.check_over_time()
+    assert sorted(case.registered()) == ["a", "b"]
+
+
+async def test_gateway_that_does_not_watch_the_store_changes_nothing(case, unused_tcp_port):
+    case.watching = False
+    case.put("b", peer_address=("127.0.0.1", unused_tcp_port))
+    await case.check_over_time()
+    assert sorted(case.registered()) == ["a", "b"]
+
+
+async def test_own_registration_that_is_missing_is_written_again(case):
+    """A gateway without registration gets no heartbeats and no share of the budget."""
+    case.catalog.remove(Topic.GATEWAYS, "a")
+    await case.registrations.check(START)
+    assert sorted(case.registered()) == ["a"]
+
+
+async def test_removal_that_fails_is_tried_again(case, unused_tcp_port):
+    case.put("b", peer_address=("127.0.0.1", unused_tcp_port))
+    await case.registrations.check(START)
+    case.catalog.down = True
+    await case.registrations.check(START + GONE_S)
+    case.catalog.down = False
+    await case.registrations.check(START + GONE_S + 1)
+    assert sorted(case.registered()) == ["a"]
+
+
+async def test_registration_is_repeated_until_the_store_takes_it(monkeypatch):
+    monkeypatch.setattr(registrations, "REGISTER_RETRY_S", 0.01)
+    case = Case()
+    case.catalog.down = True
+    registering = asyncio.create_task(case.registrations.register())
+    await asyncio.sleep(0.05)
+    assert not registering.done()
+    case.catalog.down = False
+    await registering
+    assert sorted(case.registered()) == ["a"]
