--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -90,11 +90,12 @@
             interval_s=UPKEEP_S, now=time.monotonic(), processor_s=time.process_time()
         )
         self._pool_revision = -1
+        self._build_store_access()
         self._build_coordination()
         self._build_forwarding()
         self._build_listeners()
 
-    def _build_coordination(self) -> None:
+    def _build_store_access(self) -> None:
         bounds = self.settings.bounds
         self.mirror = Mirror()
         self.mirror.listeners.append(self.view.take)
@@ -127,6 +128,8 @@
             address_of=self.peers.address_of,
             rng=self.rng,
         )
+
+    def _build_coordination(self) -> None:
         self.registrations = Registrations(
             own=self._own_entry(),
             catalog=self.catalog,
@@ -140,7 +143,7 @@
             gateways=lambda: self.view.gateways.values(),
             fleet=self.view.fleet,
             work=self.work,
-            shift_bound=bounds.region_shift,
+            shift_bound=self.settings.bounds.region_shift,
             heartbeats=lambda: self.peers.alive(time.monotonic()),
         )
 
