--- a/bench/pair_days.py
+++ b/bench/pair_days.py
@@ -1,7 +1,9 @@
 """Writes days for the platform's bench in which every two troubles meet once.
 
 ``python -m bench.pair_days`` reads ``deploy/troubles.toml`` and writes
-``deploy/days/pairs-*.toml`` and the table in ``docs/pair-days.md``.
+``deploy/days/pairs-*.toml`` and the table in ``docs/pair-days.md``. Pairs with a
+trouble of grown deployments are in days of their own, since the others are played
+on all deployments.
 """
 
 import itertools
@@ -61,11 +63,13 @@
     Attributes:
         name: Kind and variant.
         planned: Whether it is planned work.
+        grown: Whether it may come on grown deployments only.
         entry: The entry of a day without its time.
     """
 
     name: str
     planned: bool
+    grown: bool
     entry: Entry
 
 
@@ -82,7 +86,12 @@
     """Return all troubles of a file."""
     document = tomllib.loads(path.read_text())
     return [
-        Trouble(name=_name(entry), planned=section == "plan", entry=entry)
+        Trouble(
+            name=_name(entry),
+            planned=section == "plan",
+            grown=entry.pop("grown", False),
+            entry=entry,
+        )
         for section in ("plan", "faults")
         for entry in document[section]
     ]
@@ -92,9 +101,22 @@
     return " ".join(filter(None, (entry["kind"], entry.get("how", ""))))
 
 
-def cover(troubles: list[Trouble], rng: random.Random) -> list[list[Group]]:
-    """Return days whose groups contain every pair of troubles."""
-    open_pairs = set(_pairs(trouble.name for trouble in troubles))
+def cover_all(troubles: list[Trouble], rng: random.Random) -> dict[str, list[Group]]:
+    """Return the days of all deployments and those of grown ones, by name."""
+    anywhere = [trouble for trouble in troubles if not trouble.grown]
+    pairs_anywhere = set(_pairs(trouble.name for trouble in anywhere))
+    pairs_grown = set(_pairs(trouble.name for trouble in troubles)) - pairs_anywhere
+    days = cover(anywhere, pairs_anywhere, rng)
+    named = {f"pairs-{number:02}": groups for number, groups in enumerate(days, 1)}
+    days = cover(troubles, pairs_grown, rng)
+    return named | {f"pairs-grown-{number:02}": each for number, each in enumerate(days, 1)}
+
+
+def cover(
+    troubles: list[Trouble], pairs: set[tuple[str, str]], rng: random.Random
+) -> list[list[Group]]:
+    """Return days whose groups of ``troubles`` contain all ``pairs``."""
+    open_pairs = set(pairs)
     days = []
     while open_pairs:
         day = []
@@ -178,8 +200,7 @@
 def write(days_folder: Path = DAYS, page: Path = PAGE) -> int:
     """Write all days and the page; return the number of days."""
     rng = random.Random(SEED)
-    covered = cover(read_troubles(), rng)
-    days = {f"pairs-{number:02}": groups for number, groups in enumerate(covered, 1)}
+    days = cover_all(read_troubles(), rng)
     for path in days_folder.glob("pairs-*.toml"):
         path.unlink()
     for name, groups in days.items():
--- a/tests/test_pair_days.py
+++ b/tests/test_pair_days.py
@@ -4,12 +4,12 @@
 import random
 import tomllib
 
-from bench.pair_days import DAYS, PAGE, SEED, cover, day_text, read_troubles, write
+from bench.pair_days import DAYS, PAGE, SEED, cover_all, day_text, read_troubles, write
 
 
 def test_every_two_troubles_meet_in_a_group():
     troubles = read_troubles()
-    days = cover(troubles, random.Random(SEED))
+    days = cover_all(troubles, random.Random(SEED)).values()
     met = {
         pair
         for day in days
@@ -19,6 +19,14 @@
     assert met >= set(itertools.combinations(sorted(each.name for each in troubles), 2))
 
 
+def test_days_of_all_deployments_have_no_trouble_of_grown_ones():
+    """Such a day would be left out on the others."""
+    days = cover_all(read_troubles(), random.Random(SEED))
+    for name, groups in days.items():
+        grown = any(trouble.grown for group in groups for trouble in group.troubles)
+        assert grown == name.startswith("pairs-grown"), name
+
+
 def test_troubles_have_different_names():
     names = [trouble.name for trouble in read_troubles()]
     assert len(set(names)) == len(names)
@@ -27,7 +35,7 @@
 def test_entries_keep_their_section_and_fields():
     troubles = read_troubles()
     rng = random.Random(SEED)
-    day = cover(troubles, rng)[0]
+    day = cover_all(troubles, rng)["pairs-01"]
     document = tomllib.loads(day_text("a", day, rng))
     drawn = [trouble for group in day for trouble in group.troubles]
     for section, planned in (("plan", True), ("faults", False)):
