Never repeat a call to the platform in the client

The common client repeated a read whose kept connection had been reset. When the store loses its history it resets the watches; the repeated watch waited on a new connection from a revision whose changes were gone, for five seconds, and the gateways of the region went on with the old configuration. The gateway's follower reads the lists after a broken watch; the client hid the break from it.

Change: the client sends each call once.

Test: a read on a closed kept connection fails and is not repeated; it fails on the code before.

--- a/knapweeddock/platformhttp.py
+++ b/knapweeddock/platformhttp.py
@@ -11,11 +11,8 @@
 from http import HTTPMethod, HTTPStatus
 from urllib.parse import urlsplit
 
-import structlog
-
 from knapweeddock.errors import (
     ConfigError,
-    IncompleteResponse,
     OutcomeUnknown,
     PeerUnavailable,
     RateLimited,
@@ -26,8 +23,6 @@
 from knapweeddock.http1.messages import Headers, encode_request, header_text
 from knapweeddock.objectstore import MAX_VALUE_BYTES
 
-log = structlog.get_logger(__name__)
-
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_TOTAL_TIMEOUT_S = 5.0
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -109,8 +104,9 @@
 
     Reads share kept connections. Each write opens its own connection, since a
     kept one that the platform has closed would leave the write with an
-    unknown outcome. A write is sent at most once: a repeated conditional PUT
-    whose first try took effect would be reported as refused.
+    unknown outcome. No call is repeated here. A repeated conditional PUT whose
+    first try took effect would be reported as refused; a repeated watch may
+    wait without hearing of what was lost with the first one.
 
     Attributes:
         endpoint: Where the platform is reached.
@@ -151,7 +147,7 @@
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await self._read(data)
+                answer = await self._exchange(self._take_idle() or await self._connect(), data)
         except (PeerUnavailable, ResponseError, TimeoutError) as error:
             raise StoreUnavailable(f"GET {target}: {_text(error)}") from error
         _check_rate(answer)
@@ -206,17 +202,6 @@
         path = (self.endpoint.path + target).encode()
         return encode_request(method.encode(), path, lines) + body
 
-    async def _read(self, data: bytes) -> Answer:
-        connection = self._take_idle()
-        if connection is not None:
-            try:
-                return await self._exchange(connection, data)
-            except (PeerUnavailable, IncompleteResponse) as error:
-                if connection.head is not None:
-                    raise
-                log.info("kept connection to the platform was closed", reason=str(error))
-        return await self._exchange(await self._connect(), data)
-
     async def _exchange(self, connection: HttpConnection, data: bytes) -> Answer:
         body = bytearray()
         try:
--- a/tests/test_platformhttp.py
+++ b/tests/test_platformhttp.py
@@ -122,15 +122,17 @@
         assert http.calls == 2
 
 
-async def test_read_on_a_kept_connection_that_was_closed_is_repeated():
-    """A platform that closes idle connections must not look like one that is down."""
+async def test_read_on_a_kept_connection_that_was_closed_is_not_repeated():
+    """A repeated watch may wait without hearing of changes that were lost meanwhile."""
     async with platform_of(answers_per_connection=1) as (http, received):
         await http.read("/a")
-        assert (await http.read("/b")).status == 200
-        assert received == [b"GET /base/a HTTP/1.1"] + 2 * [b"GET /base/b HTTP/1.1"]
+        with pytest.raises(StoreUnavailable):
+            await http.read("/watch")
+        assert received == [b"GET /base/a HTTP/1.1", b"GET /base/watch HTTP/1.1"]
+        assert (await http.read("/a")).status == 200
 
 
-async def test_read_is_repeated_only_once():
+async def test_read_without_an_answer_is_sent_once():
     async with platform_of(answers_per_connection=0) as (http, received):
         with pytest.raises(StoreUnavailable):
             await http.read("/a")
