End the gateways of a soak that is stopped by a signal

Cause: test_draining_server_gets_nothing_more failed once, and test_evacuated_zone_gets_nothing once in 50 runs: stand-in servers got requests without an id. Gateways of soaks that had been stopped with SIGTERM ran on and sent their health checks to ports that the tests had been given since. Twenty-three such processes were found and ended.

Change: SIGTERM cancels the run, whose clean-up kills its processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,12 +2,13 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 import time
 import tomllib
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from pathlib import Path
 
 from soak.faults import Size
@@ -74,6 +75,13 @@
         print(f"  logs: {folder}")
 
 
+async def stopped_by_signal(run: Coroutine[None, None, SoakResult]) -> SoakResult:
+    """Run the soak; SIGTERM cancels it, so that its processes end with it."""
+    task = asyncio.ensure_future(run)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def main() -> int:
     """Run all seeds; return 1 if a promise was broken."""
     options = parse_arguments()
@@ -90,7 +98,7 @@
             callers=options.callers,
             size=Size(gateways=options.gateways, servers=options.servers),
         )
-        result = asyncio.run(soak(plan, folder))
+        result = asyncio.run(stopped_by_signal(soak(plan, folder)))
         report(result, folder)
         ran += 1
         if result.broken:
