Log stalls of all processes, and show them with failed process scenarios

Cause: scenarios of the separate processes fail beside busy processes, and nothing told whether a process had not run or had waited for another.

Change: agents, look-ups and entries log 'process stalled' as gateways do, and a scenario that fails prints these lines.

--- a/knapweeddock/daemon.py
+++ b/knapweeddock/daemon.py
@@ -8,8 +8,13 @@
 import structlog
 from mode import Service
 
+from knapweeddock.stalls import log_stalls
+
 EXIT_CRASHED = 1
 
+STALL_CHECK_S = 0.25
+"""Interval in seconds at which a process checks whether its timers are late."""
+
 ServiceT = TypeVar("ServiceT", bound=Service)
 
 log = structlog.get_logger(__name__)
@@ -36,6 +41,7 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
     await service.start()
+    stalls = asyncio.create_task(log_stalls(STALL_CHECK_S))
     waits = [
         asyncio.create_task(stop.wait()),
         asyncio.create_task(service.wait_until_stopped()),
@@ -44,9 +50,9 @@
     if drain is not None and stop.is_set():
         await drain(service)
     await service.stop()
-    for wait in waits:
-        wait.cancel()
-    await asyncio.gather(*waits, return_exceptions=True)
+    for task in (*waits, stalls):
+        task.cancel()
+    await asyncio.gather(*waits, stalls, return_exceptions=True)
     reason = service.crash_reason
     if reason is not None:
         log.error("the process ends after an error", error=repr(reason))
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -31,7 +31,6 @@
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.sourcing import StoreSource
-from knapweeddock.gateway.stalls import StallWatch
 from knapweeddock.gateway.view import View
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.gateway.worktimes import WorkTimes
@@ -39,6 +38,7 @@
 from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
 from knapweeddock.ids import Incarnation, new_id
 from knapweeddock.metrics import METRICS_PATH
+from knapweeddock.stalls import watch_from_now
 
 log = structlog.get_logger(__name__)
 
@@ -86,9 +86,7 @@
         self.metrics.process.before_reading = self._show_state
         self.decisions = DecisionLog(metrics=self.metrics)
         self.prober = Prober(view=self.view, wire=wire)
-        self.stalls = StallWatch(
-            interval_s=UPKEEP_S, now=time.monotonic(), processor_s=time.process_time()
-        )
+        self.stalls = watch_from_now(UPKEEP_S)
         self._pool_revision = -1
         self._build_store_access()
         self._build_coordination()
@@ -271,7 +269,7 @@
     async def _keep_up(self) -> None:
         while True:
             now = time.monotonic()
-            self._note_stall(now)
+            self.stalls.check()
             if self.phase is GatewayPhase.STARTING and self.view.is_complete:
                 self.phase = GatewayPhase.SERVING
                 log.info("serving", version=self.view.config.version)
@@ -285,15 +283,6 @@
                 self.pool.keep_only(fleet.servers)
             await asyncio.sleep(UPKEEP_S)
 
-    def _note_stall(self, now: float) -> None:
-        stall = self.stalls.observe(now, time.process_time())
-        if stall is not None:
-            log.warning(
-                "process stalled",
-                stall_s=round(stall.stall_s, 3),
-                processor_s=round(stall.processor_s, 3),
-            )
-
     async def drain(self) -> None:
         """Let clients leave, finish what runs, and end within the time for a stop."""
         started_at = time.monotonic()
--- a/knapweeddock/gateway/stalls.py
+++ b/knapweeddock/stalls.py
@@ -5,8 +5,14 @@
 them apart.
 """
 
+import asyncio
+import time
 from dataclasses import dataclass
 
+import structlog
+
+log = structlog.get_logger(__name__)
+
 STALL_S = 0.4
 """Delay of a timer in seconds from which on it counts as a stall; answers have
 deadlines of a second and more."""
@@ -55,3 +61,26 @@
             return None
         self.stalled_s += late_s
         return Stall(stall_s=late_s, processor_s=used_s)
+
+    def check(self) -> None:
+        """Take a regular call now, and log the stall before it, if there was one."""
+        stall = self.observe(time.monotonic(), time.process_time())
+        if stall is not None:
+            log.warning(
+                "process stalled",
+                stall_s=round(stall.stall_s, 3),
+                processor_s=round(stall.processor_s, 3),
+            )
+
+
+def watch_from_now(interval_s: float) -> StallWatch:
+    """Return a watch whose first regular call is due in ``interval_s`` seconds."""
+    return StallWatch(interval_s=interval_s, now=time.monotonic(), processor_s=time.process_time())
+
+
+async def log_stalls(interval_s: float) -> None:
+    """Log the stalls of this process until cancelled."""
+    watch = watch_from_now(interval_s)
+    while True:
+        await asyncio.sleep(interval_s)
+        watch.check()
--- a/soak/stalls.py
+++ b/soak/stalls.py
@@ -7,7 +7,7 @@
 from datetime import datetime
 from pathlib import Path
 
-from knapweeddock.gateway.stalls import Stall, StallWatch
+from knapweeddock.stalls import Stall, watch_from_now
 from soak.observations import SOAK, Cause, Disturbance, Observations
 
 INTERVAL_S = 0.1
@@ -20,7 +20,7 @@
 
 async def watch_own_stalls(seen: Observations) -> None:
     """Note the stalls of this process until cancelled."""
-    watch = StallWatch(interval_s=INTERVAL_S, now=time.monotonic(), processor_s=time.process_time())
+    watch = watch_from_now(INTERVAL_S)
     while True:
         await asyncio.sleep(INTERVAL_S)
         stall = watch.observe(time.monotonic(), time.process_time())
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -21,8 +21,26 @@
     """The deployment without faults; the load has ended when the scenario has."""
     deployment_of_file.reset()
     deployment_of_file.do(deployment_of_file.restore())
+    sizes = {process.log: log_size(process.log) for process in deployment_of_file.processes}
     yield deployment_of_file
     deployment_of_file.do(deployment_of_file.end_load())
+    print_stalls(sizes)
+
+
+def log_size(path):
+    return path.stat().st_size if path.exists() else 0
+
+
+def print_stalls(sizes):
+    """Show with a failure which processes got no processor time meanwhile."""
+    for path, size in sizes.items():
+        if not path.exists():
+            continue
+        with path.open("rb") as log:
+            log.seek(size)
+            stalled = [line for line in log if b"process stalled" in line]
+        for line in stalled:
+            print(path.name, line.decode().strip())
 
 
 def pass_time(seconds):
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -14,10 +14,12 @@
 
 def calls() -> list[ast.Call]:
     found = []
+    paths = [ROOT / "knapweeddock" / "stalls.py"]
     for package in PACKAGES:
-        for path in sorted((ROOT / "knapweeddock" / package).glob("*.py")):
-            tree = ast.parse(path.read_text())
-            found += [node for node in ast.walk(tree) if isinstance(node, ast.Call)]
+        paths += sorted((ROOT / "knapweeddock" / package).glob("*.py"))
+    for path in paths:
+        tree = ast.parse(path.read_text())
+        found += [node for node in ast.walk(tree) if isinstance(node, ast.Call)]
     return found
 
 
--- a/tests/gateway/test_stalls.py
+++ b/tests/test_stalls.py
@@ -1,6 +1,10 @@
+import asyncio
+import time
+
 import pytest
+from structlog.testing import capture_logs
 
-from knapweeddock.gateway.stalls import STALL_S, StallWatch
+from knapweeddock.stalls import STALL_S, StallWatch, log_stalls
 
 
 def watch() -> StallWatch:
@@ -33,3 +37,15 @@
     assert stalls.observe(102.5, 5.0) is None
     stalls.observe(103.75, 5.0)
     assert stalls.stalled_s == pytest.approx(3.0)
+
+
+async def test_stall_of_the_loop_is_logged():
+    with capture_logs() as logs:
+        watching = asyncio.create_task(log_stalls(0.01))
+        await asyncio.sleep(0.02)
+        time.sleep(STALL_S + 0.1)  # noqa: ASYNC251 - blocks the loop on purpose
+        await asyncio.sleep(0.02)
+        watching.cancel()
+    stalls = [entry for entry in logs if entry["event"] == "process stalled"]
+    assert len(stalls) == 1
+    assert stalls[0]["processor_s"] < stalls[0]["stall_s"]
