Set the shares of a service before its first request

Shares were set by the regular planning only, and only while a service had no requests; after a restart at the peak requests came between the configuration and the first planning (0.06 s on front-ast-b-3), so that the assumed shares were never set, and gateways that started later joined these.

Ruled out: registrations of servers that were not known yet (slots of all regions are in the line of the first shares); the bound on shifts itself, which must hold for regions that are calm.

Change: the first request of a service sets the shares before it is placed.

Tests: test_first_request_finds_the_assumed_shares and test_first_request_finds_the_shares_of_the_others fail on the code before.

--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -85,6 +85,7 @@
         """Count a request of a client."""
         rate = self._rates.get(service)
         if rate is None:
+            self._begin(service, now)
             rate = RequestRate()
             self._rates[service] = rate
         rate.record(now)
@@ -100,19 +101,30 @@
         """Let the shares follow the work and the slots of all regions."""
         others = list(self.heartbeats())
         for service in self.fleet.services():
-            loads = self._loads(service, now, others)
-            spill = self.spills.get(service)
-            if spill is None:
-                spill = SpillShares(origin=self.region, rate_per_s=self.rate_per_s)
-                self.spills[service] = spill
             rate = self._rates.get(service)
             if rate is None:
-                found = self._shares_of_others(service, others)
-                spill.begin(found or assume(self.region, loads))
+                self._begin(service, now)
             elif now - rate.first_at >= FIRST_GOAL_S:
+                loads = self._loads(service, now, others)
+                spill = self.spills[service]
                 spill.follow(divide(self.region, loads), now)
                 self._report(service, spill, loads)
 
+    def _begin(self, service: ServiceId, now: float) -> None:
+        """Set the shares of a service before its first request is placed.
+
+        Load pattern: all gateways restart at the peak, and requests arrive before
+        the first regular planning. Shares that began with the own region alone
+        would overload a region with few servers until they have moved.
+        """
+        spill = self.spills.get(service)
+        if spill is None:
+            spill = SpillShares(origin=self.region, rate_per_s=self.rate_per_s)
+            self.spills[service] = spill
+        others = list(self.heartbeats())
+        found = self._shares_of_others(service, others)
+        spill.begin(found or assume(self.region, self._loads(service, now, others)))
+
     def own_objects(self, now: float) -> dict[ServiceId, int]:
         """Return how many objects this gateway's requests concern, by service."""
         return {service: self.work.objects(service, now) for service in self._rates}
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -62,6 +62,26 @@
     assert demand.shares()[SERVICE] == {"north": 0.5, "south": 0.5}
 
 
+def test_first_request_finds_the_assumed_shares():
+    """Load pattern: all gateways restart at the peak and get requests at once.
+
+    Shares that begin with the own region alone overload a region with few
+    servers for as long as they take to move.
+    """
+    demand = demand_of()
+    demand.arrived(SERVICE, 0.0)
+    assert demand.shares()[SERVICE]["south"] > 0.5
+    demand.plan(0.1)
+    assert demand.shares()[SERVICE]["south"] > 0.5
+
+
+def test_first_request_finds_the_shares_of_the_others():
+    shares = {"north": 0.6, "south": 0.4}
+    demand = demand_of(heartbeat("two", shares={SERVICE: shares}))
+    demand.arrived(SERVICE, 0.0)
+    assert demand.shares()[SERVICE] == shares
+
+
 def test_shares_follow_the_servers_until_there_is_traffic():
     demand = demand_of()
     demand.plan(0.0)
