--- a/soak/promises.py
+++ b/soak/promises.py
@@ -172,7 +172,8 @@
     """A process that runs ends within the time for a stop."""
     for stop in seen.planned_stops:
         took_s = stop.ended_at - stop.asked_at
-        failed = seen.disturbance_of({stop.gateway}, stop.asked_at, stop.ended_at, Cause.FAULT)
+        subjects = {stop.gateway, SOAK}
+        failed = seen.disturbance_of(subjects, stop.asked_at, stop.ended_at, Cause.FAULT)
         if took_s > GRACE_S + STOP_MARGIN_S and not failed:
             yield f"{stop.gateway} took {took_s:.1f} s"
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -133,6 +133,7 @@
         seen([call(status=502)], [], [disturbance()], calm_spans=[(START, START + 1)]),
         seen([call(status=502)], [], [disturbance(SOAK)], calm_spans=[(START, START + 1)]),
         seen(planned_stops=[LONG_STOP], disturbances=[disturbance()]),
+        seen(planned_stops=[LONG_STOP], disturbances=[disturbance(SOAK)]),
     ],
 )
 def test_what_is_allowed_is_no_finding(observations):
