Let a stall settle before the soak expects everything to be served

Refusing what waits too long is right then. Promises with a time bound hold from three seconds after a disturbance on, as for leaving servers.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -159,12 +159,19 @@
 
 
 def calm_deployments_serve_everything(seen: Observations) -> Iterator[str]:
-    """Some time after the last fault every request succeeds again."""
+    """Some time after the last fault every request succeeds again.
+
+    A stall leaves queues and long waits behind, like every other fault.
+    """
     for start, end in seen.calm_spans:
         for call in seen.calls:
             if not start <= call.sent_at <= end or call.outcome is Outcome.ABANDONED:
                 continue
-            if call.status != HTTPStatus.OK and not _gateway_failed(seen, call):
+            subjects = {call.gateway, SOAK}
+            began_at = call.sent_at - SETTLED_S
+            if call.status == HTTPStatus.OK:
+                continue
+            if not seen.disturbance_of(subjects, began_at, call.ended_at, Cause.FAULT):
                 yield f"{call.request_id} at {call.gateway}: {call.outcome.value} {call.status}"
 
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -61,6 +61,8 @@
 CLOSED = {"outcome": Outcome.CLOSED, "status": 0, "received_bytes": 0}
 UNANSWERED = {"outcome": Outcome.UNANSWERED, "status": 0, "received_bytes": 0}
 LONG_STOP = PlannedStop(gateway="front-0", asked_at=START, ended_at=START + 6)
+EARLIER = disturbance(SOAK, start=START - 2, end=START - 1)
+LONG_AGO = disturbance(SOAK, start=START - 6, end=START - 5)
 STOPPING = disturbance(cause=Cause.PLANNED_STOP)
 
 
@@ -103,6 +105,10 @@
             seen([call(status=502)], calm_spans=[(START, START + 1)]),
             "calm_deployments_serve_everything",
         ),
+        (
+            seen([call(status=502)], [], [LONG_AGO], calm_spans=[(START, START + 1)]),
+            "calm_deployments_serve_everything",
+        ),
         (seen(process_faults=["front-0 ended"]), "processes_do_nothing_unasked"),
         (seen(planned_stops=[LONG_STOP]), "planned_stops_end_in_time"),
     ],
@@ -132,6 +138,7 @@
         seen([call(status=502)], calm_spans=[(START + 1, START + 2)]),
         seen([call(status=502)], [], [disturbance()], calm_spans=[(START, START + 1)]),
         seen([call(status=502)], [], [disturbance(SOAK)], calm_spans=[(START, START + 1)]),
+        seen([call(status=502)], [], [EARLIER], calm_spans=[(START, START + 1)]),
         seen(planned_stops=[LONG_STOP], disturbances=[disturbance()]),
         seen(planned_stops=[LONG_STOP], disturbances=[disturbance(SOAK)]),
     ],
