--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -175,8 +175,9 @@
         await self.listening()
 
     def reload(self) -> None:
-        """Ask the process to read its settings again."""
-        self.process.send(signal.SIGHUP)
+        """Ask the process to read its settings again, unless it is still starting."""
+        if self._listens:
+            self.process.send(signal.SIGHUP)
 
     async def pause(self, for_s: float) -> None:
         """Freeze the process for ``for_s`` seconds."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 
 from knapweeddock.gateway.service import UPKEEP_S
 from soak.callers import Caller, Request, read_reply
-from soak.deployment import Deployment, running_deployment
+from soak.deployment import Deployment, GatewayHost, running_deployment
 from soak.faults import DrainServer, PlannedFault, Size, draw_round
 from soak.injection import apply_fault
 from soak.observations import Observations
@@ -133,21 +133,17 @@
 
 async def _recovered(deployment: Deployment) -> None:
     """Wait until every gateway serves; note those that do not in time."""
-    await asyncio.gather(*(_served_by(deployment, number) for number in _numbers(deployment)))
+    seen = deployment.seen
+    await asyncio.gather(*(_serves(gateway, seen) for gateway in deployment.gateways))
 
 
-def _numbers(deployment: Deployment) -> range:
-    return range(len(deployment.gateways))
-
-
-async def _served_by(deployment: Deployment, number: int) -> None:
-    gateway = deployment.gateways[number]
+async def _serves(gateway: GatewayHost, seen: Observations) -> None:
     try:
         async with asyncio.timeout(RECOVERY_LIMIT_S):
             await _answer_of(gateway.front.target, f"probe-{gateway.name}")
     except TimeoutError:
         text = f"{gateway.name} does not serve {RECOVERY_LIMIT_S:g} s after the last fault"
-        deployment.seen.process_faults.append(text)
+        seen.process_faults.append(text)
 
 
 async def _answer_of(front: tuple[str, int], request_id: str) -> None:
