Let the stand-in's watches hear of changes made while the store was deaf

A server that registered while the store was deaf stayed unknown to all gateways for 6 s: the stand-in told its watches nothing afterwards until the next change. The store's watches miss nothing, so the fault was the stand-in's.

Test: test_change_of_a_deaf_store_is_heard_afterwards.

--- a/soak/injection.py
+++ b/soak/injection.py
@@ -61,7 +61,7 @@
             with deployment.seen.disturbed("store"):
                 store.deaf = True
                 await asyncio.sleep(fault.for_s)
-                store.deaf = False
+                store.hear_again()
 
 
 async def _apply_to_server(deployment: Deployment, host: ServerHost, fault: Fault) -> None:
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -50,7 +50,7 @@
 
     Attributes:
         fault: What is wrong.
-        deaf: Whether watches hear of nothing.
+        deaf: Whether watches hear of nothing; they hear of all of it afterwards.
         calls: Method and path of each call.
     """
 
@@ -80,6 +80,11 @@
             self.revision += 1
             self._record(kind, {"Object": document.encode(), "Deleted": True})
 
+    def hear_again(self) -> None:
+        """Let watches hear of what happened while the store was deaf."""
+        self.deaf = False
+        self._notify()
+
     def forget_history(self) -> None:
         """Drop the history, so that older revisions cannot be watched."""
         self.history.clear()
@@ -87,6 +92,9 @@
 
     def _record(self, kind: str, event: dict[str, Any]) -> None:
         self.history.append((self.revision, kind, event))
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,20 @@
         assert found.revision == store.revision
 
 
+async def test_change_of_a_deaf_store_is_heard_afterwards():
+    """A stand-in that loses changes would blame the gateway for not knowing them."""
+    async with catalog_of_store() as (store, catalog):
+        revision = store.revision
+        store.deaf = True
+        waiting = asyncio.create_task(catalog.changes(Topic.SERVERS, revision, 5.0))
+        await asyncio.sleep(0.05)
+        store.put("servers", "a", documents.server())
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        store.hear_again()
+        assert [change.name for change in (await waiting).changes] == ["a"]
+
+
 async def test_changed_entry_that_is_unreadable_names_no_server():
     async with catalog_of_store() as (store, catalog):
         store.put("servers", "a", documents.server())
