Wait in the tests of relays until the store is watched

In test_relays_that_lose_the_store_do_not_cut_off_the_others the relay's watch had been created but not begun when the catalog was exchanged, its watches broken and the version set, so it saw the new version on the old catalog and passed it on: the store was not lost to it. The fixture let a test begin when one member counted as watching, which all members do at first.

Change: the fixture waits for the watches of those that watch.

--- a/tests/gateway/test_sourcing.py
+++ b/tests/gateway/test_sourcing.py
@@ -107,6 +107,11 @@
     def direct(self) -> list[str]:
         return [vm for vm, member in self.members.items() if member.source.direct]
 
+    def watches(self) -> bool:
+        """Whether those that watch the store have a watch for each topic."""
+        followers = [self.members[vm].follower for vm in self.direct()]
+        return all(len(follower._waiting) == len(Topic) for follower in followers)
+
     async def stop(self, vm: str) -> None:
         member = self.members.pop(vm)
         member.task.cancel()
@@ -122,7 +127,9 @@
     for vm in names:
         region.members[vm] = Member(vm, region)
     try:
-        await until(lambda: len(region.direct()) == watching)
+        await until(lambda: len(region.direct()) == watching and region.watches())
+        # Watches that have just been created begin with the next pass of the loop.
+        await asyncio.sleep(0.01)
         yield region
     finally:
         for vm in list(region.members):
