Reset the command's logging after the tests of status, and write up the soak

The tests of status run the command, which sends logs to the captured standard error of that test; tests that ran later in the same worker logged to the closed stream. It depends on which files a worker gets; test_cli.py resets the logging for that reason.

--- a/tests/test_fleetstatus.py
+++ b/tests/test_fleetstatus.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 import pytest
+import structlog
 
 from knapweeddock import cli
 from knapweeddock.codes import ResultCode
@@ -23,6 +24,13 @@
 from tests.platform.world import running_world
 
 
+@pytest.fixture(autouse=True)
+def logs_of_the_command():
+    """Undo the command's logging, whose captured stream is closed after the test."""
+    yield
+    structlog.reset_defaults()
+
+
 class MemoryMetricsSource(MetricsSource):
     def __init__(self, texts: dict[str, str]) -> None:
         self.texts = texts
