Renew the entries of the soak's servers when they are warm

An entry tells for how long a server stays cold from its writing on; the soak's servers wrote it once after a start, so gateways that read the lists again after lost history took them for cold anew.

Change: a server writes its entry again when it is warm.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -24,7 +24,8 @@
 SERVICES = ("ledger", "archive")
 WORK_S = 0.02
 QUEUE_LIMIT = 6
-WARMUP = "3000ms"
+WARMUP_S = 3.0
+"""Time in seconds for which a server stays cold after a start."""
 
 LAPSE_S = 1.5
 """Time in seconds after which the entry of a server that has crashed lapses."""
@@ -40,6 +41,7 @@
         link: The link by which gateways reach it.
         domain: Its failure domain.
         service: What it serves.
+        cold: Whether it has started a short time ago.
         lock: Held while its life is changed, so that changes follow each other.
     """
 
@@ -51,6 +53,7 @@
         self.service = SERVICES[number // len(DOMAINS) % len(SERVICES)]
         self.lock = asyncio.Lock()
         self.starts = 0
+        self.cold = False
         self.sends_before = 0
         self.server = PlatformServer(name=f"i-{number}")
         self.link = Link(target=("127.0.0.1", 0))
@@ -83,7 +86,7 @@
     def entry(self, *, state: str = "ready") -> dict[str, object]:
         """Return the server's entry in the store."""
         entry = self.server.entry(self.link.address, self.domain, self.service)
-        cold = {"WarmupLeft": WARMUP} if self.starts > 1 else {}
+        cold = {"WarmupLeft": f"{WARMUP_S * 1000:.0f}ms"} if self.cold else {}
         # The millisecond of a start differs between the starts of a run.
         return {**entry, **cold, "State": state, "born": entry["born"] + self.starts}
 
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from soak import faults
-from soak.deployment import DOMAINS, LAPSE_S, Deployment, ServerHost
+from soak.deployment import DOMAINS, LAPSE_S, WARMUP_S, Deployment, ServerHost
 from soak.faults import Fault
 from soak.links import Link, LinkFault
 from soak.observations import Observations
@@ -99,8 +99,12 @@
             await asyncio.sleep(max(0.0, fault.down_s - LAPSE_S))
             renamed = f"{name.partition('.')[0]}.{host.starts}"
             await host.start(name=renamed if fault.renamed else name, port=port)
+            host.cold = True
             host.link.disturb(LinkFault.NONE)
             deployment.publish_server(host)
+        await asyncio.sleep(WARMUP_S)
+        host.cold = False
+        deployment.publish_server(host)
 
 
 async def _drain(deployment: Deployment, host: ServerHost, for_s: float) -> None:
