--- a/knapweeddock/errors.py
+++ b/knapweeddock/errors.py
@@ -66,6 +66,12 @@
     code = ResultCode.STORE_UNAVAILABLE
 
 
+class EraChanged(StoreError):
+    """The store came back from an older copy while the call was under way."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
 class OutcomeUnknown(StoreError):
     """A write was sent and its answer was lost; it may have taken effect."""
 
--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -52,7 +52,7 @@
         outcome: What is known after the attempt.
         entry: The server; None when there is no valid response.
         head: Status line and headers of the response, if there is one.
-        metadata: Metadata from the response's headers.
+        metadata: Metadata from the response's headers, also if the body was lost.
         body: The part of the response body that was read.
         body_complete: Whether ``body`` is the complete body.
         connection: Connection that the response arrived on. Unless ``body_complete``,
@@ -189,21 +189,13 @@
     async def _read_response(self, connection: HttpClientConnection) -> AttemptResult:
         head = await connection.read_head()
         metadata = self.wire.parse_response(head)
-        if 200 <= head.status < 300 and not metadata.signed:
-            raise MalformedResponse(f"status {head.status} without a response signature")
-        body = bytearray()
-        body_complete = False
-        while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
-            chunk = await connection.read()
-            if not chunk:
-                body_complete = True
-                break
-            body += chunk
-            if (
-                head.content_length is not None
-                and head.content_length > MAX_BUFFERED_RESPONSE_BYTES
-            ):
-                break
+        try:
+            if 200 <= head.status < 300 and not metadata.signed:
+                raise MalformedResponse(f"status {head.status} without a response signature")
+            body, body_complete = await _read_body(connection, head)
+        except ResponseError as error:
+            connection.abort()
+            return AttemptResult(outcome=AttemptOutcome.LOST, metadata=metadata, reason=str(error))
         if metadata.misdirected:
             outcome = AttemptOutcome.MISDIRECTED
         elif metadata.not_run:
@@ -214,12 +206,32 @@
             outcome=outcome,
             head=head,
             metadata=metadata,
-            body=bytes(body),
+            body=body,
             body_complete=body_complete,
             connection=connection,
         )
 
 
+async def _read_body(connection: HttpClientConnection, head: ResponseHead) -> tuple[bytes, bool]:
+    """Read a body of up to ``MAX_BUFFERED_RESPONSE_BYTES``, or the start of a longer one.
+
+    Returns:
+        What was read, and whether it is the complete body.
+
+    Raises:
+        ResponseError: The response is cut short or invalid.
+    """
+    body = bytearray()
+    while len(body) <= MAX_BUFFERED_RESPONSE_BYTES:
+        chunk = await connection.read()
+        if not chunk:
+            return bytes(body), True
+        body += chunk
+        if head.content_length is not None and head.content_length > MAX_BUFFERED_RESPONSE_BYTES:
+            break
+    return bytes(body), False
+
+
 async def _send_remaining_body(
     request: IncomingRequest, connection: HttpClientConnection, *, chunked: bool
 ) -> None:
--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -6,6 +6,7 @@
 
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
 from knapweeddock.gateway.demand import SpilloverController
+from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
 from knapweeddock.gateway.serverselection import INTER_REGION_RTT_S, Selection
@@ -33,6 +34,7 @@
         processing_times: Learned processing times.
         limits: Limits of the whole deployment.
         spillover_controller: Counts requests to measure the offered load.
+        fleet: Backend servers.
         gateway_count: Returns the number of registered gateways, this one included.
         now: Returns the monotonic time.
     """
@@ -43,12 +45,14 @@
         processing_times: ProcessingTimes,
         limits: GatewayLimits,
         spillover_controller: SpilloverController,
+        fleet: Fleet,
         gateway_count: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
         self.processing_times = processing_times
         self.limits = limits
         self.spillover_controller = spillover_controller
+        self.fleet = fleet
         self.gateway_count = gateway_count
         self.now = now
         self._retry_budgets: dict[ServiceId, RetryBudgetShare] = {}
@@ -103,14 +107,18 @@
             )
 
     def _record_server_state(self, selection: Selection, result: AttemptResult, now: float) -> None:
-        load = result.metadata.load
-        if load is not None:
-            selection.server.load.record_reported_load(
-                running=load.running, waiting=load.waiting, now=now
+        server = selection.server
+        metadata = result.metadata
+        if metadata.load is not None:
+            server.load.record_reported_load(
+                running=metadata.load.running, waiting=metadata.load.waiting, now=now
             )
-        warmup_s = result.metadata.warmup_left_s
-        if warmup_s:
-            selection.server.cold_until = max(selection.server.cold_until, now + warmup_s)
+        if metadata.warmup_left_s:
+            server.cold_until = max(server.cold_until, now + metadata.warmup_left_s)
+        if metadata.leaving:
+            self.fleet.record_leaving(server)
+        if metadata.pause_s:
+            server.begin_pause(metadata.pause_s, now)
 
     def _record_response_time(
         self,
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -8,6 +8,8 @@
 from knapweeddock.gateway.passivehealth import PassiveHealth
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
 from knapweeddock.gateway.serverload import ServerLoad
+from knapweeddock.gateway.serverpause import RESUME_S, ServerPause
+from knapweeddock.gateway.storereturn import DepartedServers
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
 
 log = structlog.get_logger(__name__)
@@ -24,9 +26,21 @@
         expires_at: Monotonic time at which the server is removed unless it registers
             again; None while it is registered.
         cold_request_times: Monotonic times of the latest requests sent while it was cold.
+        is_leaving: Whether it announced in a response that it leaves; this holds until the
+            process ends.
+        pause: Time for which it has asked this gateway to send nothing.
     """
 
-    __slots__ = ("cold_request_times", "cold_until", "entry", "expires_at", "health", "load")
+    __slots__ = (
+        "cold_request_times",
+        "cold_until",
+        "entry",
+        "expires_at",
+        "health",
+        "is_leaving",
+        "load",
+        "pause",
+    )
 
     def __init__(self, *, entry: ServerEntry) -> None:
         self.entry = entry
@@ -35,11 +49,24 @@
         self.cold_until = 0.0
         self.expires_at: float | None = None
         self.cold_request_times: deque[float] = deque()
+        self.is_leaving = False
+        self.pause = ServerPause()
 
     def is_cold(self, now: float) -> bool:
         """Whether the server is warming up and its request rate is limited."""
         return now < self.cold_until
 
+    def begin_pause(self, pause_s: float, now: float) -> None:
+        """Send nothing to the server for ``pause_s`` seconds, then increase the rate slowly."""
+        if not self.pause.is_active(now):
+            log.info("server asks for a pause", server=self.entry.server, pause_s=pause_s)
+        self.pause.begin(pause_s, now)
+        self.cold_until = max(self.cold_until, self.pause.until + RESUME_S)
+
+    def accepts_requests(self, now: float) -> bool:
+        """Whether requests may be sent, apart from the limit on the rate of a cold server."""
+        return self.health.is_usable() and not self.pause.is_active(now)
+
 
 GroupKey = tuple[ServiceId, RegionId]
 """Service and region that a group of servers belongs to."""
@@ -54,6 +81,7 @@
         warmup_s: Time in seconds for which a server is cold after its start, by service.
         revision: Number that increases when the groups of servers may have changed.
         is_loaded: Whether the list of servers was read from the store at least once.
+        departed: Servers that are no longer registered.
     """
 
     def __init__(self) -> None:
@@ -62,6 +90,7 @@
         self.warmup_s: Mapping[ServiceId, float] = {}
         self.revision = 0
         self.is_loaded = False
+        self.departed = DepartedServers()
         self._groups: dict[GroupKey, tuple[ServerState, ...]] = {}
         self._regions: dict[ServiceId, tuple[RegionId, ...]] = {}
 
@@ -110,9 +139,25 @@
                 state.expires_at = now + grace_s
             return
         del self.servers[server_id]
+        self.departed.record(state.entry, now, is_leaving=state.is_leaving)
         log.info("server removed", server=server_id, service=state.entry.service)
         self._rebuild_groups()
 
+    def record_leaving(self, state: ServerState) -> None:
+        """Record that a server announced in a response that it leaves.
+
+        It gets no new requests until another process has registered under its identifier.
+
+        Args:
+            state: State of the server when the request was sent to it; a process that has
+                replaced it since has a state of its own and is not affected.
+        """
+        if state.is_leaving:
+            return
+        state.is_leaving = True
+        log.info("server is leaving", server=state.entry.server, service=state.entry.service)
+        self._rebuild_groups()
+
     def remove_expired(self, now: float) -> None:
         """Remove the servers that did not register again within their grace period."""
         expired_ids = [
@@ -150,6 +195,8 @@
         if state is None:
             log.info("server registered", server=entry.server, service=entry.service)
             state = ServerState(entry=entry)
+            departed = self.departed.find(entry, now)
+            state.is_leaving = departed is not None and departed.is_leaving
         elif _is_restart(state.entry, entry):
             log.info("server restarted", server=entry.server, service=entry.service)
             state = ServerState(entry=entry)
@@ -172,6 +219,7 @@
             entry = state.entry
             if (
                 entry.phase is ServerPhase.DRAINING
+                or state.is_leaving
                 or entry.failure_domain in self.evacuated_domains
             ):
                 continue
@@ -186,7 +234,7 @@
     def group(self, service: ServiceId, region: RegionId) -> tuple[ServerState, ...]:
         """Return the servers of ``service`` in ``region`` that may get requests.
 
-        Draining servers and those of evacuated failure domains are left out;
+        Draining and leaving servers and those of evacuated failure domains are left out;
         unreachable ones are included.
         """
         return self._groups.get((service, region), ())
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -41,7 +41,9 @@
             now: Monotonic time.
         """
         for server_id, state in self.routing_state.fleet.servers.items():
-            if state.health.is_probe_due(now) and server_id not in self._tasks:
+            if server_id in self._tasks or state.pause.is_active(now):
+                continue
+            if state.health.is_probe_due(now):
                 task = asyncio.create_task(self._probe(state))
                 self._tasks[server_id] = task
                 task.add_done_callback(lambda _, server_id=server_id: self._tasks.pop(server_id))
@@ -95,6 +97,10 @@
         metadata = self.wire.parse_response(head)
         if metadata.server_id not in (None, entry.server):
             return None
+        if metadata.leaving:
+            self.routing_state.fleet.record_leaving(state)
+        if metadata.pause_s:
+            state.begin_pause(metadata.pause_s, time.monotonic())
         if head.status != HTTPStatus.OK and not metadata.not_run:
             return None
         return metadata
--- a/knapweeddock/gateway/registrations.py
+++ b/knapweeddock/gateway/registrations.py
@@ -3,7 +3,8 @@
 A gateway stays registered across restarts, so a VM that never comes back leaves its
 registration behind. The gateways of a region that watch the store remove it after
 ``GATEWAY_EXPIRY_S`` without any sign of life. A gateway that watches the store and
-finds its own registration missing writes it again.
+finds its own registration missing writes it again. If the store comes back from an
+older copy that lacks the registration, each gateway writes its own at once.
 """
 
 import asyncio
@@ -15,8 +16,9 @@
 
 from knapweeddock.errors import StoreError
 from knapweeddock.gateway.records import Address, GatewayEntry
-from knapweeddock.gateway.storeclient import StoreClient
-from knapweeddock.ids import VmId
+from knapweeddock.gateway.storecache import Update
+from knapweeddock.gateway.storeclient import StoreClient, Topic
+from knapweeddock.ids import Era, VmId
 
 log = structlog.get_logger(__name__)
 
@@ -24,6 +26,10 @@
 """Time in seconds without a sign of life after which a gateway counts as permanently
 gone; restarts and network outages are shorter."""
 
+RETURN_SPREAD_S = 0.5
+"""Time in seconds over which gateways spread the writing of their registrations after the
+store came back from an older copy."""
+
 CHECK_INTERVAL_S = 30.0
 REGISTER_RETRY_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
@@ -81,13 +87,41 @@
         self.watches_store = watches_store
         self.rng = rng
         self.expiry_tracker = ExpiryTracker()
+        self._registered_era: Era | None = None
+        self._lost_in_return = asyncio.Event()
 
     async def run(self) -> None:
         """Register, then check all registrations until cancelled."""
         await self.register()
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S * (0.8 + 0.4 * self.rng.random()))
-            await self.check(time.monotonic())
+            try:
+                async with asyncio.timeout(CHECK_INTERVAL_S * (0.8 + 0.4 * self.rng.random())):
+                    await self._lost_in_return.wait()
+            except TimeoutError:
+                await self.check(time.monotonic())
+            else:
+                await self._restore()
+
+    def handle_update(self, update: Update) -> None:
+        """Note whether a later era of the store lacks this gateway's registration."""
+        if update.topic is not Topic.GATEWAYS or self._registered_era is None:
+            return
+        own_vm = self.own_entry.vm
+        if update.position.era <= self._registered_era or not (
+            update.whole or own_vm in update.items
+        ):
+            return
+        if update.items.get(own_vm) == self.own_entry:
+            self._registered_era = update.position.era
+            self._lost_in_return.clear()
+        else:
+            self._lost_in_return.set()
+
+    async def _restore(self) -> None:
+        await asyncio.sleep(RETURN_SPREAD_S * self.rng.random())
+        if self._lost_in_return.is_set():
+            log.warning("registration lost in the store's return", vm=self.own_entry.vm)
+            await self.register()
 
     async def register(self) -> None:
         """Write this gateway's registration, with retries until the store has accepted it."""
@@ -99,6 +133,8 @@
                 await asyncio.sleep(REGISTER_RETRY_S * (0.5 + self.rng.random()))
             else:
                 log.info("registered", vm=self.own_entry.vm)
+                self._registered_era = self.store_client.era
+                self._lost_in_return.clear()
                 return
 
     async def check(self, now: float) -> None:
--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -20,7 +20,8 @@
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import StoreObject, Topic
-from knapweeddock.ids import FailureDomainId, Revision
+from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.ids import FailureDomainId
 
 log = structlog.get_logger(__name__)
 
@@ -76,7 +77,7 @@
     topic: Topic
     whole: bool
     items: dict[str, msgspec.Raw]
-    revision: Revision
+    position: StorePosition
     grace_s: float = 0.0
 
 
@@ -111,7 +112,7 @@
         topic=message.topic,
         whole=message.whole,
         items=items,
-        revision=message.revision,
+        position=message.position,
         grace_s=message.grace_s,
     )
 
--- a/knapweeddock/gateway/routingstate.py
+++ b/knapweeddock/gateway/routingstate.py
@@ -10,11 +10,18 @@
 from knapweeddock.gateway.routes import RouteSplits, RoutingConfig
 from knapweeddock.gateway.storecache import Update, to_changes
 from knapweeddock.gateway.storeclient import Change, StoreObject, Topic
+from knapweeddock.gateway.storereturn import (
+    ReturnHolds,
+    find_changed_objects,
+    find_outdated_servers,
+)
 from knapweeddock.http1.server import ClientLimits
-from knapweeddock.ids import RegionId, VmId
+from knapweeddock.ids import Era, RegionId, VmId
 
 log = structlog.get_logger(__name__)
 
+DEFAULT_RETURN_HOLD_S = 6.5
+
 CONFIGURATION_NAME = "main"
 """Name of the store's object that holds the configuration."""
 
@@ -28,15 +35,27 @@
         gateways: Registered gateways by VM.
         splits: Weighted splits of the routes among services.
         clock: Returns the monotonic time in seconds.
+        return_hold_s: Time in seconds for which known objects hold against an older copy
+            from which the store came back; by its end the registrations of servers that
+            are gone have expired in the store.
     """
 
-    def __init__(self, *, fleet: Fleet, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clock: Callable[[], float] = time.monotonic,
+        return_hold_s: float = DEFAULT_RETURN_HOLD_S,
+    ) -> None:
         self.config: RoutingConfig | None = None
         self.fleet = fleet
         self.gateways: dict[VmId, GatewayEntry] = {}
         self.splits = RouteSplits()
         self.clock = clock
+        self.return_hold_s = return_hold_s
         self._evacuations: dict[str, StoreObject] = {}
+        self._eras: dict[Topic, Era] = {}
+        self._holds = ReturnHolds()
 
     @property
     def is_complete(self) -> bool:
@@ -54,13 +73,55 @@
     def apply(self, update: Update) -> None:
         """Apply changed objects of one topic."""
         if update.whole:
-            self._replace_all(update)
+            self._replace_all(update, self._reconcile(update))
             return
+        self._holds.confirm_changes(update.topic, update.items)
         for change in to_changes(update):
             self._apply_change(update.topic, change, grace_s=update.grace_s)
 
-    def _replace_all(self, update: Update) -> None:
-        items = update.items
+    def maintain(self) -> None:
+        """Remove servers and end holds whose time is over."""
+        now = self.clock()
+        self.fleet.remove_expired(now)
+        for topic, change in self._holds.end_expired(now):
+            log.info("store's copy in force", topic=topic.value, name=change.name)
+            self._apply_change(topic, change, grace_s=0.0)
+
+    def _reconcile(self, update: Update) -> dict[str, StoreObject]:
+        """Return the objects in force after a full update.
+
+        They differ from its own if the store came back from an older copy.
+        """
+        topic = update.topic
+        listed = {name: item for name, item in update.items.items() if item is not None}
+        known_era = self._eras.get(topic)
+        self._eras[topic] = update.position.era
+        if known_era is None or known_era == update.position.era:
+            self._holds.confirm_list(topic, listed)
+        else:
+            held = self._find_held(topic, listed)
+            log.info("known objects outlive the store's return", topic=topic.value, held=len(held))
+            self._holds.begin(topic, held, listed, self.clock() + self.return_hold_s)
+        return self._holds.overlay(topic, listed)
+
+    def _find_held(
+        self, topic: Topic, listed: dict[str, StoreObject]
+    ) -> dict[str, StoreObject | None]:
+        match topic:
+            case Topic.SERVERS:
+                known = {name: state.entry for name, state in self.fleet.servers.items()}
+                return find_outdated_servers(known, listed, self.fleet.departed, self.clock())
+            case Topic.EVACUATIONS:
+                return {
+                    name: item for name, item in self._evacuations.items() if name not in listed
+                }
+            case Topic.GATEWAYS:
+                return find_changed_objects(self.gateways, listed)
+            case Topic.CONFIGURATION:
+                # The store cache keeps the latest version.
+                return {}
+
+    def _replace_all(self, update: Update, items: dict[str, StoreObject]) -> None:
         match update.topic:
             case Topic.CONFIGURATION:
                 self._apply_config(items.get(CONFIGURATION_NAME))
@@ -93,15 +154,9 @@
 
     def _apply_config(self, config: StoreObject | None) -> None:
         if config is None:
-            log.warning("configuration missing or unreadable; keeping the last one")
+            log.warning("no readable configuration")
             return
         if self.config is not None and config.version <= self.config.version:
-            if config.version < self.config.version:
-                log.warning(
-                    "older configuration ignored",
-                    version=config.version,
-                    in_force=self.config.version,
-                )
             return
         self.config = config
         self.fleet.warmup_s = {
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -180,14 +180,9 @@
     def select(self, request: SelectionRequest, now: float) -> Selection | Rejection:
         """Return the server for ``request``, or a rejection if there is none."""
         regions = self._allowed_regions(request)
-        if not regions:
-            return self._reject(ResultCode.NO_SITE)
-        home_region = self._home_region(request, regions)
-        best = self._best_in_region(request, home_region, now, is_home_region=True)
-        if best is None or self._should_try_other_regions(request, best):
-            best = self._try_other_regions(request, regions, home_region, best, now)
+        best = self._best(request, regions, now) if regions else None
         if best is None:
-            return self._reject(ResultCode.NO_SITE)
+            return self._reject_without_server(request, regions, now)
         if best.wait_s > self._max_wait_s(request.route):
             return self._reject(ResultCode.WAIT_TOO_LONG, best)
         # A request takes at least the processing time for a cached object, so one that
@@ -200,6 +195,15 @@
             return self._reject(ResultCode.WAIT_TOO_LONG, best)
         return best
 
+    def _best(
+        self, request: SelectionRequest, regions: list[RegionId], now: float
+    ) -> Selection | None:
+        home_region = self._home_region(request, regions)
+        best = self._best_in_region(request, home_region, now, is_home_region=True)
+        if best is None or self._should_try_other_regions(request, best):
+            best = self._try_other_regions(request, regions, home_region, best, now)
+        return best
+
     def record_sent(self, request: SelectionRequest, selection: Selection, now: float) -> None:
         """Record that ``request`` is sent to the selected server."""
         server = selection.server
@@ -311,7 +315,7 @@
         )
 
     def _is_eligible(self, server: ServerState, request: SelectionRequest, now: float) -> bool:
-        if server.entry.server in request.tried or not server.health.is_usable():
+        if server.entry.server in request.tried or not server.accepts_requests(now):
             return False
         if not server.is_cold(now):
             return True
@@ -403,6 +407,26 @@
         )
         return max(MIN_WAIT_LIMIT_FACTOR * route.target_latency_s, max_wait_s)
 
+    def _reject_without_server(
+        self, request: SelectionRequest, regions: list[RegionId], now: float
+    ) -> Rejection:
+        """Reject a request that no server may get now.
+
+        If servers have asked for a pause, the client may come back when the first ends.
+        """
+        pauses_s = [
+            server.pause.remaining_s(now)
+            for region in regions
+            for server in self.fleet.group(request.service, region)
+            if server.pause.is_active(now)
+        ]
+        if not pauses_s:
+            return self._reject(ResultCode.NO_SITE)
+        return Rejection(
+            code=ResultCode.SHED,
+            retry_after_s=self._with_jitter(max(MIN_RETRY_AFTER_S, min(pauses_s))),
+        )
+
     def _reject(self, code: ResultCode, best: Selection | None = None) -> Rejection:
         wait_s = best.wait_s if best is not None else 0.0
         return Rejection(code=code, retry_after_s=self.retry_after_s(wait_s), best=best)
@@ -414,7 +438,10 @@
             wait_s: Expected wait at the best server, in seconds.
         """
         base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return base_s * (1 + RETRY_AFTER_JITTER * self.rng.random())
+        return self._with_jitter(base_s)
+
+    def _with_jitter(self, delay_s: float) -> float:
+        return delay_s * (1 + RETRY_AFTER_JITTER * self.rng.random())
 
 
 def _cost(selection: Selection, now: float) -> float:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -83,7 +83,9 @@
         self.rng = rng or random.Random()
         self.incarnation = Incarnation(new_id())
         self.phase = GatewayPhase.STARTING
-        self.routing_state = RoutingState(fleet=Fleet())
+        self.routing_state = RoutingState(
+            fleet=Fleet(), return_hold_s=settings.limits.return_hold_s
+        )
         self.processing_times = ProcessingTimes()
         self.connection_pool = ConnectionPool(get_max_idle=self._max_idle_connections)
         self.metrics = GatewayMetrics(vm=settings.vm)
@@ -142,6 +144,7 @@
             ),
             rng=self.rng,
         )
+        self.store_cache.listeners.append(self.registrations.handle_update)
         self.spillover_controller = SpilloverController(
             region=self.settings.region,
             gateways=lambda: self.routing_state.gateways.values(),
@@ -168,6 +171,7 @@
             processing_times=self.processing_times,
             limits=limits,
             spillover_controller=self.spillover_controller,
+            fleet=self.routing_state.fleet,
             gateway_count=lambda: max(1, len(self.routing_state.gateways)),
             now=time.monotonic,
         )
@@ -231,6 +235,7 @@
         self.settings = dataclasses.replace(self.settings, limits=settings.limits)
         self.store_watcher.outage_detection_s = settings.limits.outage_detection_s
         self.store_watcher.reregistration_s = settings.limits.reregistration_s
+        self.routing_state.return_hold_s = settings.limits.return_hold_s
         self.attempt_tracker.apply_limits(settings.limits)
         self.spillover_controller.apply_shift_limit(settings.limits.max_region_shift)
         self.forwarder.server_selector.shift_limit.max_shift = settings.limits.max_region_shift
@@ -291,7 +296,7 @@
                 log.info("serving", version=self.routing_state.config.version)
                 self.peers.send_heartbeats()
             fleet = self.routing_state.fleet
-            fleet.remove_expired(now)
+            self.routing_state.maintain()
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -28,6 +28,8 @@
             another region within two seconds.
         reregistration_s: Time in seconds after an outage of the store in which servers
             renew registrations that expired during the outage.
+        registration_lease_s: Time in seconds after which the store removes the
+            registration of a server that does not renew it.
     """
 
     retry_ratio: float = 0.1
@@ -40,6 +42,16 @@
     outage_detection_s: float = 3.0
     max_region_shift: float = 0.15
     reregistration_s: float = 2.0
+    registration_lease_s: float = 4.5
+
+    @property
+    def return_hold_s(self) -> float:
+        """Time in seconds after which an older copy of the store has been brought up to date.
+
+        By then, servers that live have renewed their registrations, and those of the others
+        have expired.
+        """
+        return self.reregistration_s + self.registration_lease_s
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/knapweeddock/gateway/storewatcher.py
+++ b/knapweeddock/gateway/storewatcher.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 import time
+from collections.abc import Iterable
 
 import structlog
 
-from knapweeddock.errors import HistoryGone, StoreError
+from knapweeddock.errors import EraChanged, HistoryGone, StoreError
 from knapweeddock.gateway.storecache import StoreCache
 from knapweeddock.gateway.storeclient import StoreClient, Topic
+from knapweeddock.ids import Era
 
 log = structlog.get_logger(__name__)
 
@@ -31,6 +33,10 @@
 most ``MAX_BACKOFF_S``, of which jitter takes off up to a half. The longest backoff is
 shorter than the time within which the recovery of the store must be noticed."""
 
+RETURN_SPREAD_S = 0.25
+"""Time in seconds over which gateways spread their lists after the store came back from
+an older copy, since all that watch it notice that in the same moment."""
+
 PING_INTERVAL_FRACTION = 0.1
 """Interval of the pings, as a fraction of ``outage_detection_s``."""
 
@@ -88,6 +94,8 @@
         self._store_reachable.set()
         self.last_response_at = time.monotonic()
         self._watch_tasks: dict[Topic, asyncio.Task[object]] = {}
+        self._next_list_at = float("-inf")
+        store_client.era_listeners.append(self._handle_new_era)
 
     @property
     def store_reachable(self) -> bool:
@@ -101,7 +109,7 @@
         """List the topics that are not in the store cache, with retries until all of them are."""
         async with asyncio.TaskGroup() as group:
             for topic in Topic:
-                if topic not in self.store_cache.revisions:
+                if not self.store_cache.is_listed(topic):
                     group.create_task(self._list_until_success(topic))
 
     async def run(self) -> None:
@@ -114,8 +122,9 @@
     def server_removal_grace_s(self) -> float:
         """Return the seconds for which a server that the store no longer lists is kept.
 
-        Registrations may expire during an outage of the store; the servers register
-        again within ``reregistration_s`` seconds after it.
+        Registrations may expire during an outage of the store, and those written since
+        the copy from which the store came back are lost; the servers register again
+        within ``reregistration_s`` seconds.
         """
         return max(0.0, self.recovered_at + self.reregistration_s - time.monotonic())
 
@@ -141,17 +150,24 @@
             await self._store_reachable.wait()
             started_at = time.monotonic()
             try:
-                if topic in self.store_cache.revisions:
+                if self.store_cache.is_listed(topic):
                     await self._watch_topic(topic)
                 else:
+                    await asyncio.sleep(self._next_list_at - time.monotonic())
                     await self._list_topic(topic)
                 failures = 0
             except HistoryGone:
                 log.info("history gone; reading all lists", topic=topic.value)
-                self._relist_all_topics()
+                self._relist(Topic)
+                failures += 1
+                await self._back_off(failures)
+            except EraChanged as error:
+                log.info("watch belongs to another era", topic=topic.value, reason=str(error))
+                self._relist_earlier_eras()
             except StoreError as error:
                 failures += 1
-                was_watching = self.store_cache.revisions.pop(topic, None) is not None
+                was_watching = self.store_cache.is_listed(topic)
+                self.store_cache.invalidate(topic)
                 if was_watching:
                     # A list contains the changes that the broken watch missed; after an
                     # error, a new watch from the same revision may never report them.
@@ -166,8 +182,8 @@
         self.store_cache.apply_snapshot(topic, snapshot, grace_s=self.server_removal_grace_s())
 
     async def _watch_topic(self, topic: Topic) -> None:
-        revision = self.store_cache.revisions[topic]
-        task = asyncio.create_task(self.store_client.watch(topic, revision, self.watch_timeout_s))
+        position = self.store_cache.positions[topic]
+        task = asyncio.create_task(self.store_client.watch(topic, position, self.watch_timeout_s))
         self._watch_tasks[topic] = task
         try:
             await asyncio.wait([task])
@@ -180,21 +196,37 @@
             return
         batch = task.result()
         self._record_response()
-        # The revision is gone if another topic has lost its history in the meantime.
-        if self.store_cache.revisions.get(topic) == revision:
+        # Another topic may have lost its history in the meantime.
+        if self.store_cache.is_listed(topic):
             self.store_cache.apply_changes(topic, batch, grace_s=self.server_removal_grace_s())
         if batch.changes:
             await asyncio.sleep(BATCH_PAUSE_S[topic])
 
-    def _relist_all_topics(self) -> None:
-        """Discard the revisions of all topics, so that each one is listed again.
+    def _relist(self, topics: Iterable[Topic]) -> None:
+        """List ``topics`` again before they are watched.
 
         A watch that began shortly before the store lost its history may keep waiting
         and never report the lost changes.
         """
-        self.store_cache.revisions.clear()
+        for topic in topics:
+            self.store_cache.invalidate(topic)
         self._restart_watches()
 
+    def _relist_earlier_eras(self) -> None:
+        """List the topics again that are known from an earlier era than the store's.
+
+        A watch from a revision of an earlier era would miss the changes at and below it,
+        since the store has given out the revision again.
+        """
+        positions = self.store_cache.positions
+        self._relist(topic for topic in positions if positions[topic].era != self.store_client.era)
+
+    def _handle_new_era(self, era: Era) -> None:
+        now = time.monotonic()
+        self.recovered_at = now
+        self._next_list_at = now + RETURN_SPREAD_S * self.rng.random()
+        self._relist_earlier_eras()
+
     async def _run_pings(self) -> None:
         failures = 0
         timeout_s = MIN_PING_TIMEOUT_FRACTION * self.outage_detection_s
@@ -229,7 +261,7 @@
     def _restart_watches(self) -> None:
         """Cancel the running watches, whose connections may be dead.
 
-        A topic that still has a revision is then watched from it, any other is listed.
+        A topic that need not be listed again is then watched from its known position.
         """
         for task in self._watch_tasks.values():
             task.cancel()
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -52,6 +52,9 @@
         load: Load of the server, if reported.
         server_id: Identifier of the server, if reported.
         warmup_left_s: Time in seconds for which the server stays cold, if reported.
+        leaving: Whether the server announces that it leaves.
+        pause_s: Time in seconds for which the server asks this gateway to send nothing;
+            None unless it turned the request away and asked for a pause.
     """
 
     not_run: bool = False
@@ -60,6 +63,8 @@
     load: ReportedLoad | None = None
     server_id: ServerId | None = None
     warmup_left_s: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/knapweeddock/ids.py
+++ b/knapweeddock/ids.py
@@ -20,6 +20,7 @@
 RouteId = NewType("RouteId", str)
 Version = NewType("Version", int)
 Revision = NewType("Revision", int)
+Era = NewType("Era", int)
 
 
 def new_id() -> str:
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -21,6 +21,9 @@
 SETTINGS_VARIABLE = "KNAPWEEDDOCK_BOOT"
 """Environment variable with the path of the settings file."""
 
+HEARTBEATS_PER_LEASE = 3
+"""Heartbeat intervals after which the store removes the entry of a silent server."""
+
 METRICS_PORT = 9464
 """Port for readers of metrics; ``deploy/system.toml`` names the same."""
 
@@ -71,12 +74,16 @@
             address=address(platform.get("Address")),
             history_retention_s=duration(platform, "History", 20.0),
         ),
-        limits=_bounds(optional(document, "Bounds", dict, {})),
+        limits=_limits(document),
     )
 
 
-def _bounds(bounds: Mapping[str, Any]) -> GatewayLimits:
+def _limits(document: Mapping[str, Any]) -> GatewayLimits:
+    bounds = optional(document, "Bounds", dict, {})
     default = GatewayLimits()
+    heartbeat_interval_s = duration(
+        document, "HeartbeatInterval", default.registration_lease_s / HEARTBEATS_PER_LEASE
+    )
     return GatewayLimits(
         retry_ratio=number(bounds, "RetryBudgetRatio", default.retry_ratio),
         retry_allowance=number(bounds, "RetryBudgetSlack", default.retry_allowance),
@@ -89,4 +96,5 @@
         # A machine counts as undisturbed after this time, the store's silence included.
         outage_detection_s=duration(bounds, "StableWindow", default.outage_detection_s),
         max_region_shift=number(bounds, "ShiftMost", default.max_region_shift),
+        registration_lease_s=HEARTBEATS_PER_LEASE * heartbeat_interval_s,
     )
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -9,6 +9,7 @@
 import structlog
 
 from knapweeddock.errors import (
+    EraChanged,
     HistoryGone,
     StoreUnavailable,
     VersionConflict,
@@ -22,7 +23,9 @@
     StoreObject,
     Topic,
 )
-from knapweeddock.ids import FailureDomainId, RegionId, Revision, VmId
+from knapweeddock.gateway.storeposition import UNKNOWN_ERA, StorePosition
+from knapweeddock.http1.messages import Headers, get_header
+from knapweeddock.ids import Era, FailureDomainId, RegionId, Revision, VmId
 from knapweeddock.platform.documents import KINDS, decode, encode_gateway
 from knapweeddock.platform.values import DocumentError, field, optional
 from knapweeddock.platformhttp import Endpoint, PlatformHttpClient, PlatformResponse
@@ -36,6 +39,11 @@
 """Time for an answer in seconds; the store answers in milliseconds, and in a third
 of a second when it is slow."""
 
+ERA = b"store-era"
+"""Header of each response: how often the store came back from an older copy."""
+
+MAX_ERA_DIGITS = 18
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -55,8 +63,11 @@
     def __init__(
         self, *, http: PlatformHttpClient, regions: Mapping[FailureDomainId, RegionId]
     ) -> None:
+        super().__init__()
         self.http = http
+        self.http.observe_headers = self._observe_headers
         self.regions = regions
+        self._era_fault_logged = False
 
     @property
     def calls(self) -> int:
@@ -66,16 +77,18 @@
     async def list_objects(self, topic: Topic) -> Snapshot:
         """Return all objects of ``topic``, page by page."""
         items: dict[str, StoreObject] = {}
-        revision: Revision | None = None
+        position: StorePosition | None = None
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            body = await self._read(_path(topic) + query)
+            era, body = await self._read(_path(topic) + query)
+            if position is not None and era != position.era:
+                raise EraChanged(f"list of {topic.value}: the store returned between two pages")
             try:
                 page = field(body, "items", list)
-                if revision is None:
+                if position is None:
                     # Changes during the reading of later pages are seen again.
-                    revision = Revision(field(body, "CurrentRev", int))
+                    position = _position(era, body)
                 more = optional(body, "HasMore", bool, False)
                 names = [_name(_mapping(each)) for each in page]
             except DocumentError as error:
@@ -85,25 +98,30 @@
                 if item is not None:
                     items[name] = item
             if not more or not names:
-                return Snapshot(items=items, revision=revision)
+                return Snapshot(items=items, position=position)
             after = names[-1]
 
-    async def watch(self, topic: Topic, revision: Revision, wait_s: float) -> ChangeBatch:
-        """Wait for changes of ``topic`` after ``revision``."""
-        query = f"?Watch={revision}&WaitMs={round(wait_s * 1000)}"
-        body = await self._read(_path(topic) + query, long_poll_s=wait_s)
+    async def watch(self, topic: Topic, position: StorePosition, wait_s: float) -> ChangeBatch:
+        """Wait for changes of ``topic`` after ``position``."""
+        query = f"?Watch={position.revision}&WaitMs={round(wait_s * 1000)}"
+        era, body = await self._read(_path(topic) + query, long_poll_s=wait_s)
+        if era != position.era:
+            # The store has given out the revision again, so changes below it are missing.
+            raise EraChanged(f"watch of {topic.value}: era {era}, not {position.era}")
         try:
             events = optional(body, "events", list, [])
-            following = Revision(field(body, "CurrentRev", int))
+            following = _position(era, body)
             changes = [self._change(topic, _mapping(event)) for event in events]
         except DocumentError as error:
             raise StoreUnavailable(f"changes of {topic.value}: {error}") from error
-        return ChangeBatch(changes=changes, revision=following)
+        return ChangeBatch(changes=changes, position=following)
 
     async def ping(self, timeout_s: float) -> None:
         """Make the cheapest call."""
         path = _path(Topic.EVACUATIONS) + "?AllowStale=1"
-        _check(path, await self.http.read(path, total_timeout_s=timeout_s))
+        response = await self.http.read(path, total_timeout_s=timeout_s)
+        self._checked_era(path, response)
+        _check(path, response)
 
     async def register(self, entry: GatewayEntry) -> None:
         """Write the entry of this gateway."""
@@ -117,23 +135,52 @@
     async def unregister(self, vm: VmId) -> None:
         """Remove the entry of a gateway."""
         path = f"{_path(Topic.GATEWAYS)}/{quote(vm, safe='')}"
-        _check(path, await self.http.write(HTTPMethod.DELETE, path))
+        response = await self.http.write(HTTPMethod.DELETE, path)
+        self._checked_era(path, response)
+        _check(path, response)
 
     async def close(self) -> None:
         """Close the connections."""
         await self.http.close()
 
-    async def _read(self, target: str, *, long_poll_s: float = 0.0) -> Mapping[str, Any]:
+    def _observe_headers(self, headers: Headers) -> None:
+        era = _stated_era(headers)
+        if era is not None:
+            self._era_fault_logged = False
+            self.record_era(era)
+        elif not self._era_fault_logged and (
+            self.era != UNKNOWN_ERA or get_header(headers, ERA) is not None
+        ):
+            self._era_fault_logged = True
+            log.error("store response without a valid era", known_era=self.era)
+
+    def _checked_era(self, path: str, response: PlatformResponse) -> Era:
+        """Return the era of a response, which is the known one if it states none.
+
+        Raises:
+            StoreUnavailable: The response is from an earlier era, or states a later one that
+                is not proven yet, so its content cannot be used.
+        """
+        stated = _stated_era(response.headers)
+        if stated is not None and stated != self.era:
+            raise StoreUnavailable(f"{path}: response of era {stated}, not {self.era}")
+        return self.era
+
+    async def _read(
+        self, target: str, *, long_poll_s: float = 0.0
+    ) -> tuple[Era, Mapping[str, Any]]:
         response = await self.http.read(target, long_poll_s=long_poll_s)
         path = target.partition("?")[0]
+        era = self._checked_era(path, response)
         _check(path, response)
         try:
-            return _mapping(msgspec.json.decode(response.body))
+            return era, _mapping(msgspec.json.decode(response.body))
         except (msgspec.DecodeError, DocumentError) as error:
             raise StoreUnavailable(f"GET {path}: malformed answer: {error}") from error
 
     async def _write(self, method: HTTPMethod, path: str, body: bytes) -> PlatformResponse:
         response = await self.http.write(method, path, headers=JSON_HEADERS, body=body)
+        self._checked_era(path, response)
         _check(path, response)
         return response
 
@@ -152,6 +199,19 @@
             return None
 
 
+def _stated_era(headers: Headers) -> Era | None:
+    """Return the era that a response states, or None if it states none or no whole number."""
+    values = {value.strip() for name, value in headers if name.lower() == ERA}
+    if len(values) != 1:
+        return None
+    (value,) = values
+    return Era(int(value)) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
+
+
+def _position(era: Era, body: Mapping[str, Any]) -> StorePosition:
+    return StorePosition(era=era, revision=Revision(field(body, "CurrentRev", int)))
+
+
 def _check(path: str, response: PlatformResponse) -> None:
     match response.status:
         case HTTPStatus.GONE:
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -1,8 +1,13 @@
 """Headers, look-ups and readiness checks as the platform's clients and servers speak them."""
 
+import math
+import time
+from email.utils import mktime_tz, parsedate_tz
+from http import HTTPStatus
 from urllib.parse import parse_qs
 
 import msgspec
+import structlog
 
 from knapweeddock.gateway.records import Address
 from knapweeddock.gateway.wire import (
@@ -25,6 +30,8 @@
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId
 from knapweeddock.platform.values import address_text
 
+log = structlog.get_logger(__name__)
+
 REQUEST_ID = b"request-id"
 DEADLINE_MS = b"deadline-ms"
 EXPECTED_SERVER = b"expected-instance"
@@ -33,14 +40,22 @@
 NOT_RUN = b"not-executed"
 SERVER_ID = b"instance-id"
 WARMUP_MS = b"warmup-ms"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 OBJECT_COOKIE = "Affinity-Key"
 
 MISDIRECTED_STATUS = 421
 
+MAX_COUNT_DIGITS = 9
+"""Largest number of digits of a count or of a time in milliseconds in a header."""
+
+DEFAULT_PAUSE_S = 1.0
+"""Pause in seconds after a refusal whose ``Retry-After`` cannot be read."""
+
 SET_ANEW = frozenset({DEADLINE_MS, EXPECTED_SERVER, b"content-length", b"expect"})
 """Request headers that are written for each server."""
 
-KEPT_FROM_CLIENTS = frozenset({b"content-length", LOAD, NOT_RUN})
+KEPT_FROM_CLIENTS = frozenset({b"content-length", LOAD, NOT_RUN, LEAVING})
 """Response headers that concern the gateway only."""
 
 RESOLVE_PATH = "/api/resolve"
@@ -50,12 +65,14 @@
 class PlatformWire(WireFormat):
     """Translates messages of the platform's clients and servers."""
 
+    def __init__(self) -> None:
+        self._retry_after_fault_logged = False
+
     def parse_request(self, head: RequestHead) -> RequestMetadata:
         """Read a client's request."""
-        timeout = get_header_text(head.headers, DEADLINE_MS)
         return RequestMetadata(
             request_id=get_header_text(head.headers, REQUEST_ID),
-            timeout_s=int(timeout) / 1000 if timeout.isdecimal() and len(timeout) < 10 else None,
+            timeout_s=_milliseconds(head.headers, DEADLINE_MS),
             object_key=get_cookie(head.headers, OBJECT_COOKIE),
         )
 
@@ -77,16 +94,32 @@
     def parse_response(self, head: ResponseHead) -> ResponseMetadata:
         """Read a server's response."""
         server = get_header_text(head.headers, SERVER_ID)
-        warmup = get_header_text(head.headers, WARMUP_MS)
         return ResponseMetadata(
             not_run=get_header(head.headers, NOT_RUN) is not None,
             misdirected=head.status == MISDIRECTED_STATUS,
             signed=get_header(head.headers, SIGNATURE) is not None,
             load=_load(head.headers),
             server_id=ServerId(server) if server else None,
-            warmup_left_s=int(warmup) / 1000 if warmup.isdecimal() else None,
+            warmup_left_s=_milliseconds(head.headers, WARMUP_MS),
+            leaving=any(
+                name.lower() == LEAVING and value.strip() == b"1" for name, value in head.headers
+            ),
+            pause_s=self._pause_s(head),
         )
 
+    def _pause_s(self, head: ResponseHead) -> float | None:
+        """Return the pause that a server asks for with a refusal, or None."""
+        text = get_header_text(head.headers, RETRY_AFTER)
+        if head.status != HTTPStatus.SERVICE_UNAVAILABLE or not text:
+            return None
+        pause_s = _retry_after_s(text)
+        if pause_s is not None and pause_s >= 0:
+            return pause_s
+        if not self._retry_after_fault_logged:
+            self._retry_after_fault_logged = True
+            log.warning("server's Retry-After cannot be used", value=text[:40])
+        return DEFAULT_PAUSE_S if pause_s is None else 0.0
+
     def forwarded_response_headers(self, head: ResponseHead) -> HeaderList:
         """Return the headers of a server's response that is sent to a client."""
         return end_to_end_headers(head.headers, excluded=KEPT_FROM_CLIENTS)
@@ -126,9 +159,36 @@
         return head.method == b"GET" and head.target.partition(b"?")[0] == READY_PATH.encode()
 
 
+def _milliseconds(headers: Headers, name: bytes) -> float | None:
+    """Return a header that holds a whole number of milliseconds in seconds, or None."""
+    text = get_header_text(headers, name)
+    if not text.isdecimal() or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text) / 1000
+
+
+def _retry_after_s(text: str) -> float | None:
+    """Return the delay that ``Retry-After`` gives in seconds or as a date, or None."""
+    try:
+        delay_s = float(text)
+    except ValueError:
+        date = parsedate_tz(text)
+        if date is None:
+            return None
+        try:
+            return max(0.0, mktime_tz(date) - time.time())
+        except (ValueError, OverflowError):
+            return None
+    return None if math.isnan(delay_s) else delay_s
+
+
 def _load(headers: Headers) -> ReportedLoad | None:
     """Read ``running,waiting,slots``."""
     parts = get_header_text(headers, LOAD).split(",")
-    if len(parts) < 2 or not all(part.strip().isdecimal() for part in parts):
+    if len(parts) < 2 or not all(_is_count(part.strip()) for part in parts):
         return None
     return ReportedLoad(running=int(parts[0]), waiting=int(parts[1]))
+
+
+def _is_count(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
--- a/knapweeddock/platformhttp.py
+++ b/knapweeddock/platformhttp.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPMethod, HTTPStatus
 from urllib.parse import urlsplit
@@ -115,6 +115,7 @@
         total_timeout_s: Longest duration of a call in seconds, including the
             time to open a connection.
         call_count: Number of calls, including rejected ones.
+        observe_headers: Called with the headers of each response, whatever its status.
     """
 
     def __init__(
@@ -123,8 +124,10 @@
         endpoint: Endpoint,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         total_timeout_s: float = DEFAULT_TOTAL_TIMEOUT_S,
+        observe_headers: Callable[[Headers], None] = lambda headers: None,
     ) -> None:
         self.endpoint = endpoint
+        self.observe_headers = observe_headers
         self.connect_timeout_s = connect_timeout_s
         self.total_timeout_s = total_timeout_s
         self.call_count = 0
@@ -214,6 +217,7 @@
         try:
             connection.start_exchange(data)
             head = await connection.read_head()
+            self.observe_headers(head.headers)
             while chunk := await connection.read():
                 body += chunk
                 if len(body) > MAX_RESPONSE_BYTES:
--- a/knapweeddock/requeststory.py
+++ b/knapweeddock/requeststory.py
@@ -20,6 +20,7 @@
     {
         "store lost",
         "store regained",
+        "store returned from an older copy",
         "watch broken",
         "history gone; reading all lists",
         "relay lost",
@@ -35,6 +36,8 @@
         "server phase changed",
         "server restarted",
         "server removed",
+        "server is leaving",
+        "server asks for a pause",
         "server not back",
         "server back",
     }
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -44,16 +44,37 @@
         return {"Metadata": metadata, "Spec": self.spec, "Status": None}
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """A copy of the store's contents.
+
+    Attributes:
+        kinds: Objects by kind and name.
+        history: Events with their revision and kind.
+        revision: Revision of the contents.
+        oldest: Oldest revision that can be watched.
+    """
+
+    kinds: dict[str, dict[str, StoredDocument]]
+    history: list[tuple[int, str, dict[str, Any]]]
+    revision: int
+    oldest: int
+
+
 @dataclass(kw_only=True)
 class MetaStore:
     """The objects and the switches for faults.
 
     Attributes:
+        era: Number that each return from a copy raises by one.
+        era_header: Value of the ``Store-Era`` header in place of ``era``; "" for no header.
         fault: What is wrong.
         deaf: Whether watches hear of nothing; they hear of all of it afterwards.
         calls: Method and path of each call.
     """
 
+    era: int = 1
+    era_header: str | None = None
     fault: StoreFault = StoreFault.NONE
     deaf: bool = False
     calls: list[tuple[str, str]] = field(default_factory=list)
@@ -90,6 +111,24 @@
         self.history.clear()
         self.oldest = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        return StoreCopy(
+            kinds={kind: dict(documents) for kind, documents in self.kinds.items()},
+            history=list(self.history),
+            revision=self.revision,
+            oldest=self.oldest,
+        )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Replace the contents with an older copy; what was written since is lost."""
+        self.kinds = {kind: dict(documents) for kind, documents in copy.kinds.items()}
+        self.history = list(copy.history)
+        self.revision = copy.revision
+        self.oldest = copy.oldest
+        self.era += 1
+        self._notify()
+
     def _record(self, kind: str, event: dict[str, Any]) -> None:
         self.history.append((self.revision, kind, event))
         self._notify()
@@ -103,16 +142,23 @@
         self.calls.append((request.method, request.path_qs))
         match self.fault:
             case StoreFault.BUSY:
-                return web.Response(status=503)
+                return self._state_era(web.Response(status=503))
             case StoreFault.MANY:
-                return web.Response(status=429)
+                return self._state_era(web.Response(status=429))
             case StoreFault.SILENT:
                 await asyncio.Event().wait()
         answer = await self._answer(request)
+        self._state_era(answer)
         if self.fault is StoreFault.LOSE_ANSWERS and request.method != "GET":
             request.transport.abort()
         return answer
 
+    def _state_era(self, answer: web.Response) -> web.Response:
+        stated = str(self.era) if self.era_header is None else self.era_header
+        if stated:
+            answer.headers["Store-Era"] = stated
+        return answer
+
     async def _answer(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         name = request.match_info.get("name", "")
@@ -148,13 +194,16 @@
         since = int(request.query["Watch"])
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query["WaitMs"]) / 1000):
-                while since >= self.oldest and (self.deaf or not self._since(kind, since)):
+                while self._is_known(since) and (self.deaf or not self._since(kind, since)):
                     await self.changed.wait()
-        if since < self.oldest:
+        if not self._is_known(since):
             return web.Response(status=410)
         answer = {"events": self._since(kind, since), "CurrentRev": self.revision}
         return web.json_response(answer)
 
+    def _is_known(self, revision: int) -> bool:
+        return self.oldest <= revision <= self.revision
+
     def _since(self, kind: str, revision: int) -> list[dict[str, Any]]:
         return [event for at, found, event in self.history if at > revision and found == kind]
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -20,6 +20,7 @@
     UNSIGNED = "unsigned"
     RESET_AFTER_RUN = "reset after run"
     SILENT = "silent"
+    PAUSE = "pause"
 
 
 @dataclass(kw_only=True)
@@ -33,6 +34,8 @@
         queue_limit: Requests that wait for a slot before others are shed; all run
             at once when None.
         fault: What is wrong.
+        leaving: Whether all its responses say that it leaves.
+        retry_after: ``Retry-After`` of the refusals with ``ServerFault.PAUSE``.
         on_run: Called with the server, the request's identifier and its body when
             a request starts to run.
         ran: Identifiers of the requests that it ran.
@@ -48,6 +51,8 @@
     queue_limit: int | None = None
     on_run: Callable[["PlatformServer", str, bytes], None] | None = None
     fault: ServerFault = ServerFault.NONE
+    leaving: bool = False
+    retry_after: str = "1"
     warmup_ms: int = 0
     ran: list[str] = field(default_factory=list)
     cut: list[str] = field(default_factory=list)
@@ -63,6 +68,12 @@
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer a request."""
+        answer = await self._respond(request)
+        if self.leaving:
+            answer.headers["Server-Leaving"] = "1"
+        return answer
+
+    async def _respond(self, request: web.Request) -> web.StreamResponse:
         if request.path == "/healthz":
             self.probes += 1
             health = {"Instance-Id": self.name, "Warmup-Ms": str(self.warmup_ms)}
@@ -72,6 +83,9 @@
         expected = request.headers.get("Expected-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"Instance-Id": self.name})
+        if self.fault is ServerFault.PAUSE:
+            headers = {"Not-Executed": "1", "Retry-After": self.retry_after}
+            return web.Response(status=503, headers=headers)
         if self.fault is ServerFault.SHED:
             return web.Response(status=503, headers={"Not-Executed": "1"})
         body = await request.read()
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -9,11 +9,16 @@
 from knapweeddock.gateway.serverload import PendingRequest
 from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.storeposition import StorePosition
 
 SERVICE = "ledger"
 REGION = "north"
 
 
+def at(revision: int, *, era: int = 1) -> StorePosition:
+    return StorePosition(era=era, revision=revision)
+
+
 def make_route(**changes) -> Route:
     values = {
         "route": "r",
--- a/tests/gateway/test_registrations.py
+++ b/tests/gateway/test_registrations.py
@@ -4,8 +4,9 @@
 import pytest
 
 from knapweeddock.gateway import registrations
+from knapweeddock.gateway.inmemorystore import InMemoryStore
 from knapweeddock.gateway.registrations import GATEWAY_EXPIRY_S, ExpiryTracker, Registrations
-from knapweeddock.gateway.storeclient import InMemoryStore, Topic
+from knapweeddock.gateway.storeclient import Topic
 from tests.gateway.support import make_gateway
 
 START = 1000.0
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -10,7 +10,7 @@
 from knapweeddock.gateway.routes import RoutingConfig, ServicePolicy
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, Topic
-from tests.gateway.support import SERVICE, make_gateway, make_route, make_server
+from tests.gateway.support import SERVICE, at, make_gateway, make_route, make_server
 from tests.waiting import until
 
 CONFIG = RoutingConfig(
@@ -29,7 +29,7 @@
         Topic.GATEWAYS: {"vm": make_gateway("vm")},
     }
     for topic, items in contents.items():
-        store_cache.apply_snapshot(topic, Snapshot(items=items, revision=10), grace_s=0.0)
+        store_cache.apply_snapshot(topic, Snapshot(items=items, position=at(10)), grace_s=0.0)
     return store_cache
 
 
@@ -77,7 +77,7 @@
 
 
 def test_pulse_and_removal_survive_encoding():
-    removal = Update(topic=Topic.SERVERS, whole=False, items={"a": None}, revision=3)
+    removal = Update(topic=Topic.SERVERS, whole=False, items={"a": None}, position=at(3))
     for message in (Pulse(connected=False), removal):
         assert decode(encode(message)[LENGTH_PREFIX.size :]) == message
 
@@ -94,7 +94,7 @@
         running_subscriber(address) as (store_cache, _),
     ):
         assert store_cache.items == relay.store_cache.items
-        removal = ChangeBatch(changes=[Change(name="a", item=None)], revision=11)
+        removal = ChangeBatch(changes=[Change(name="a", item=None)], position=at(11))
         relay.store_cache.apply_changes(Topic.SERVERS, removal, grace_s=0.0)
         await until(lambda: not store_cache.items[Topic.SERVERS])
 
--- a/tests/gateway/test_storewatcher.py
+++ b/tests/gateway/test_storewatcher.py
@@ -6,10 +6,11 @@
 
 from knapweeddock.gateway import storewatcher
 from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.inmemorystore import InMemoryStore
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import InMemoryStore, Topic
+from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
 from tests.gateway.support import make_server
 from tests.waiting import until
--- a/tests/gateway/test_updatesource.py
+++ b/tests/gateway/test_updatesource.py
@@ -9,10 +9,11 @@
 
 from knapweeddock.gateway import relay as relay_module
 from knapweeddock.gateway import storewatcher, updatesource
+from knapweeddock.gateway.inmemorystore import InMemoryStore
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import InMemoryStore, Topic
+from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
 from knapweeddock.gateway.updatesource import RELAYS_PER_REGION, UpdateSource, choose_relays
 from knapweeddock.rendezvous import weighted_order
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,12 +4,15 @@
 import pytest
 
 from knapweeddock.errors import (
+    EraChanged,
     HistoryGone,
     OutcomeUnknown,
     RateLimited,
+    StoreError,
     StoreUnavailable,
 )
 from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.gateway.storeposition import StorePosition
 from knapweeddock.platform.store import PlatformStoreClient, store_http
 from standins import documents
 from standins.metastore import PAGE, StoreFault, running_metastore
@@ -32,7 +35,7 @@
             store.put("servers", f"i-{index:03}", documents.server())
         snapshot = await store_client.list_objects(Topic.SERVERS)
         assert len(snapshot.items) == 2 * PAGE + 1
-        assert snapshot.revision == store.revision
+        assert snapshot.position.revision == store.revision
 
 
 async def test_unreadable_entries_are_left_out():
@@ -47,20 +50,20 @@
     async with running_store_client() as (store, store_client):
         store.put("servers", "a", documents.server())
         snapshot = await store_client.list_objects(Topic.SERVERS)
-        waiting = asyncio.create_task(store_client.watch(Topic.SERVERS, snapshot.revision, 5.0))
+        waiting = asyncio.create_task(store_client.watch(Topic.SERVERS, snapshot.position, 5.0))
         await asyncio.sleep(0.05)
         store.remove("servers", "a")
         found = await waiting
         assert [(change.name, change.item) for change in found.changes] == [("a", None)]
-        assert found.revision == store.revision
+        assert found.position.revision == store.revision
 
 
 async def test_change_of_a_deaf_store_is_heard_afterwards():
     """A stand-in that loses changes would blame the gateway for not knowing them."""
     async with running_store_client() as (store, store_client):
-        revision = store.revision
+        position = StorePosition(era=store.era, revision=store.revision)
         store.deaf = True
-        waiting = asyncio.create_task(store_client.watch(Topic.SERVERS, revision, 5.0))
+        waiting = asyncio.create_task(store_client.watch(Topic.SERVERS, position, 5.0))
         await asyncio.sleep(0.05)
         store.put("servers", "a", documents.server())
         await asyncio.sleep(0.05)
@@ -72,15 +75,17 @@
 async def test_changed_entry_that_is_unreadable_names_no_server():
     async with running_store_client() as (store, store_client):
         store.put("servers", "a", documents.server())
-        revision = (await store_client.list_objects(Topic.SERVERS)).revision
+        position = (await store_client.list_objects(Topic.SERVERS)).position
         store.put("servers", "a", documents.server(Slots="many"))
-        found = await store_client.watch(Topic.SERVERS, revision, 1.0)
+        found = await store_client.watch(Topic.SERVERS, position, 1.0)
         assert [(change.name, change.item) for change in found.changes] == [("a", None)]
 
 
 async def test_wait_without_changes_returns_none():
     async with running_store_client() as (store, store_client):
-        found = await store_client.watch(Topic.SERVERS, store.revision, 0.02)
+        found = await store_client.watch(
+            Topic.SERVERS, StorePosition(era=store.era, revision=store.revision), 0.02
+        )
         assert found.changes == []
 
 
@@ -89,7 +94,7 @@
         store.put("servers", "a", documents.server())
         store.forget_history()
         with pytest.raises(HistoryGone):
-            await store_client.watch(Topic.SERVERS, 1, 1.0)
+            await store_client.watch(Topic.SERVERS, StorePosition(era=store.era, revision=1), 1.0)
 
 
 @pytest.mark.parametrize(
@@ -136,3 +141,71 @@
     store_client = PlatformStoreClient(http=store_http(address), regions={})
     with pytest.raises(StoreUnavailable):
         await store_client.ping(0.05)
+
+
+async def test_watch_of_an_earlier_era_fails_although_the_revision_exists():
+    # The store has given out the revision again, and changes below it would be missed.
+    async with running_store_client() as (store, store_client):
+        store.put("servers", "a", documents.server())
+        copy = store.copy()
+        store.put("servers", "b", documents.server())
+        position = (await store_client.list_objects(Topic.SERVERS)).position
+        store.return_from(copy)
+        store.put("servers", "c", documents.server())
+        with pytest.raises(EraChanged):
+            await store_client.watch(Topic.SERVERS, position, 1.0)
+        assert store_client.era == 2
+
+
+async def test_watch_from_a_revision_that_the_copy_lacks_is_told():
+    async with running_store_client() as (store, store_client):
+        copy = store.copy()
+        store.put("servers", "a", documents.server())
+        position = (await store_client.list_objects(Topic.SERVERS)).position
+        store.return_from(copy)
+        with pytest.raises(HistoryGone):
+            await store_client.watch(Topic.SERVERS, position, 1.0)
+        assert store_client.era == 2
+
+
+async def test_list_across_a_return_is_refused(monkeypatch):
+    # Its first page would be of one era and its second of the next.
+    async with running_store_client() as (store, store_client):
+        for index in range(PAGE + 1):
+            store.put("servers", f"i-{index:03}", documents.server())
+        copy = store.copy()
+        await store_client.ping(1.0)
+        read = store_client.http.read
+
+        async def read_then_return(target, **options):
+            response = await read(target, **options)
+            if "after" not in target:
+                store.return_from(copy)
+            return response
+
+        monkeypatch.setattr(store_client.http, "read", read_then_return)
+        with pytest.raises(EraChanged):
+            await store_client.list_objects(Topic.SERVERS)
+
+
+async def test_response_of_an_earlier_era_is_not_used():
+    async with running_store_client() as (store, store_client):
+        store.era = 4
+        await store_client.ping(1.0)
+        store.era_header = "3"
+        with pytest.raises(StoreUnavailable):
+            await store_client.list_objects(Topic.SERVERS)
+        with pytest.raises(StoreUnavailable):
+            await store_client.register(make_gateway("front-1"))
+        assert store_client.era == 4
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.MANY])
+async def test_era_of_a_refusal_counts(fault):
+    async with running_store_client() as (store, store_client):
+        await store_client.ping(1.0)
+        store.era = 2
+        store.fault = fault
+        with pytest.raises(StoreError):
+            await store_client.ping(1.0)
+        assert store_client.era == 2
