Let gateways share what they know of servers and of each other through their relay

A gateway sends a given server one request in 80 s, so it knew nothing of the queues that the others made; 21 to 28 of 100 requests were late at a server that had their object cached. Heartbeats to up to 40 receivers were most of the bytes between failure domains, and since they reached half of a region, 12 to 17 gateways believed to be relays and watched the store. At the start 163 of 195 watched it, since they had heard nobody yet.

Ruled out: the hit ratio (0.95 and more from the fourth second on).

Change: a subscriber sends its heartbeat and its reports of busy servers to its relay; the pulses carry who lives, the demand of each region and the reports. Datagrams remain for gateways without a relay, relays, and between regions. A starting gateway registers, lists the gateways and looks for a relay in their order before it reads anything else. The expected load of a server moves towards the mean of its reports, not to zero: servers that were reported busy a second ago still had 3.3 requests on average where 0.8 were expected. Requests are refused only for waits that recent reports prove. A server that rejects a request while it reports free slots no longer counts as full: shared with all gateways, that turned a random half of rejections into refusals. How often a later preferred server has an object is learned instead of a half.

--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -9,6 +9,7 @@
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
+from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import INTER_REGION_RTT_S, Selection
 from knapweeddock.gateway.settings import GatewayLimits
 from knapweeddock.ids import ServiceId
@@ -35,6 +36,7 @@
         limits: Limits of the whole deployment.
         spillover_controller: Counts requests to measure the offered load.
         fleet: Backend servers.
+        report_board: Shares the load of busy servers with the other gateways.
         gateway_count: Returns the number of registered gateways, this one included.
         now: Returns the monotonic time.
     """
@@ -46,6 +48,7 @@
         limits: GatewayLimits,
         spillover_controller: SpilloverController,
         fleet: Fleet,
+        report_board: ReportBoard,
         gateway_count: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
@@ -53,6 +56,7 @@
         self.limits = limits
         self.spillover_controller = spillover_controller
         self.fleet = fleet
+        self.report_board = report_board
         self.gateway_count = gateway_count
         self.now = now
         self._retry_budgets: dict[ServiceId, RetryBudgetShare] = {}
@@ -87,7 +91,10 @@
             case AttemptOutcome.LOST:
                 server.health.record_broken_connection(now)
             case AttemptOutcome.NOT_RUN:
-                server.load.record_rejection(now)
+                if result.metadata.load is None:
+                    # A server that reports its load may reject requests while it has slots.
+                    server.load.record_rejection(now)
+                    self.report_board.record(server, round(server.load.total_requests(now)), now)
                 server.health.record_response(failed=True, latency_ratio=None, now=now)
             case AttemptOutcome.RESPONSE:
                 self._record_response_time(context, selection, result, now - started_at, now)
@@ -113,6 +120,8 @@
             server.load.record_reported_load(
                 running=metadata.load.running, waiting=metadata.load.waiting, now=now
             )
+            requests = metadata.load.running + metadata.load.waiting
+            self.report_board.record(server, requests, now)
         if metadata.warmup_left_s:
             server.cold_until = max(server.cold_until, now + metadata.warmup_left_s)
         if metadata.leaving:
@@ -142,10 +151,16 @@
         if selection.wait_s == 0:
             latency_ratio = elapsed_s / max(MIN_EXPECTED_LATENCY_S, selection.expected_s)
         selection.server.health.record_response(failed=False, latency_ratio=latency_ratio, now=now)
-        if processing_s > 0 and selection.cache_state_known:
+        if processing_s <= 0:
+            return
+        if selection.cache_state_known:
             self.processing_times.observe(
                 context.route, context.service, cached=selection.cached, processing_s=processing_s
             )
+        elif not selection.cached and context.metadata.object_key and selection.wait_s == 0:
+            self.processing_times.observe_later_server(
+                context.route, context.service, processing_s=processing_s
+            )
 
     def try_acquire_retry(self, context: "RequestContext", result: AttemptResult) -> bool:
         """Return whether the request may be sent to one more server, and count the retry.
--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -1,15 +1,13 @@
 """Measures the offered load of this gateway's clients and adjusts the region shares to it."""
 
 import math
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 import structlog
 
 from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.peers import Heartbeat
+from knapweeddock.gateway.heartbeats import RegionDemand
 from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.gateway.spillover import (
     RegionLoad,
     RegionShares,
@@ -68,8 +66,7 @@
         fleet: Backend servers.
         processing_times: Learned processing times.
         shares_by_service: Current region shares by service.
-        heartbeats: Returns the latest heartbeats of the other gateways.
-        gateways: Returns the registered gateways.
+        region_demands: Returns the demand of each region, this gateway's own included.
         max_share_change_per_s: Fraction of the requests that may change their region per
             second.
     """
@@ -81,16 +78,14 @@
         fleet: Fleet,
         processing_times: ProcessingTimes,
         shift_limit: float,
-        heartbeats: Callable[[], Iterable[Heartbeat]],
-        gateways: Callable[[], Iterable[GatewayEntry]],
+        region_demands: Callable[[], Mapping[RegionId, RegionDemand]],
     ) -> None:
         self.region = region
         self.fleet = fleet
         self.processing_times = processing_times
         self.shares_by_service: dict[ServiceId, SpilloverShares] = {}
         self.apply_shift_limit(shift_limit)
-        self.heartbeats = heartbeats
-        self.gateways = gateways
+        self.region_demands = region_demands
         self._rates: dict[ServiceId, RequestRate] = {}
         self._logged_shares: dict[ServiceId, dict[RegionId, float]] = {}
 
@@ -104,7 +99,7 @@
         """Count a request of a client."""
         rate = self._rates.get(service)
         if rate is None:
-            self._initialize_shares(service, now)
+            self._initialize_shares(service)
             rate = RequestRate()
             self._rates[service] = rate
         rate.record(now)
@@ -121,21 +116,21 @@
 
     def update_shares(self, now: float) -> None:
         """Move the shares according to the offered load and the slots of all regions."""
-        heartbeats = list(self.heartbeats())
+        demands = self.region_demands()
         for service in self.fleet.services():
             rate = self._rates.get(service)
             if rate is None:
-                self._initialize_shares(service, now)
+                self._initialize_shares(service)
             elif now - rate.first_at >= MEASUREMENT_DELAY_S:
-                loads = self._region_loads(service, now, heartbeats)
+                loads = self._region_loads(service, demands)
                 shares = self.shares_by_service[service]
                 shares.move_towards(compute_shares(self.region, loads), now)
                 self._log_changed_shares(service, shares, loads)
 
-    def _initialize_shares(self, service: ServiceId, now: float) -> None:
+    def _initialize_shares(self, service: ServiceId) -> None:
         """Set the shares of a service before a server is selected for its first request.
 
-        They are the mean shares of the region's other gateways that have traffic, or
+        They are the mean shares of the region's gateways that have traffic, or
         else the initial shares. If all gateways restart at the peak, requests arrive
         before the first regular call of ``update_shares``. Shares that began with the own
         region alone would overload a region with few servers until they have changed.
@@ -146,10 +141,11 @@
                 origin=self.region, max_share_change_per_s=self.max_share_change_per_s
             )
             self.shares_by_service[service] = shares
-        heartbeats = list(self.heartbeats())
-        peer_shares = self._mean_shares_of_peers(service, heartbeats)
+        demands = self.region_demands()
+        own_demand = demands.get(self.region, RegionDemand())
+        peer_shares = own_demand.shares.get(service)
         shares.initialize(
-            peer_shares or initial_shares(self.region, self._region_loads(service, now, heartbeats))
+            peer_shares or initial_shares(self.region, self._region_loads(service, demands))
         )
 
     def object_counts(self, now: float) -> dict[ServiceId, int]:
@@ -159,30 +155,20 @@
         }
 
     def _region_loads(
-        self, service: ServiceId, now: float, heartbeats: list[Heartbeat]
+        self, service: ServiceId, demands: Mapping[RegionId, RegionDemand]
     ) -> dict[RegionId, RegionLoad]:
-        """Return the load of each region.
-
-        If there are many gateways, heartbeats arrive from some of them only. The others
-        of a region are assumed to have the same mean load. Each gateway sees most of its
-        region's objects, so the largest reported number is the best estimate.
-        """
-        offered_loads = {self.region: [self.offered_load(now).get(service, 0.0)]}
-        objects = {self.region: self.object_counts(now).get(service, 0)}
-        for heartbeat in heartbeats:
-            region = heartbeat.region
-            offered_loads.setdefault(region, []).append(heartbeat.work.get(service, 0.0))
-            objects[region] = max(objects.get(region, 0), heartbeat.objects.get(service, 0))
-        registered = Counter(entry.region for entry in self.gateways())
-        return {
-            region: RegionLoad(
-                offered_load=_extrapolate(offered_loads.get(region, []), registered[region]),
-                objects=objects.get(region, 0),
+        """Return the load of each region."""
+        no_demand = RegionDemand()
+        loads = {}
+        for region in {*demands, *self.fleet.regions(service)}:
+            demand = demands.get(region, no_demand)
+            loads[region] = RegionLoad(
+                offered_load=demand.work.get(service, 0.0),
+                objects=demand.objects.get(service, 0),
                 slots=self.fleet.reachable_slots(service, region),
                 servers=len(self.fleet.group(service, region)),
             )
-            for region in {*offered_loads, *self.fleet.regions(service)}
-        }
+        return loads
 
     def shares(self) -> dict[ServiceId, RegionShares]:
         """Return the current shares by service, rounded to three decimals."""
@@ -191,26 +177,6 @@
             for service, shares in self.shares_by_service.items()
         }
 
-    def _mean_shares_of_peers(
-        self, service: ServiceId, heartbeats: list[Heartbeat]
-    ) -> RegionShares:
-        """Return the mean shares of the region's other gateways that have traffic.
-
-        A gateway that starts adopts them.
-        """
-        peer_shares = [
-            heartbeat.shares[service]
-            for heartbeat in heartbeats
-            if heartbeat.region == self.region
-            and service in heartbeat.shares
-            and heartbeat.work.get(service)
-        ]
-        mean: RegionShares = {}
-        for shares in peer_shares:
-            for region, share in shares.items():
-                mean[region] = mean.get(region, 0.0) + share / len(peer_shares)
-        return mean
-
     def _log_changed_shares(
         self, service: ServiceId, shares: SpilloverShares, loads: dict[RegionId, RegionLoad]
     ) -> None:
@@ -227,10 +193,3 @@
             objects={region: load.objects for region, load in loads.items()},
             slots={region: load.slots for region, load in loads.items()},
         )
-
-
-def _extrapolate(reported: list[float], registered: int) -> float:
-    """Return the load of all registered gateways, given the loads that some reported."""
-    if not reported:
-        return 0.0
-    return round(sum(reported) / len(reported) * max(len(reported), registered), 2)
--- a/knapweeddock/gateway/inmemorystore.py
+++ b/knapweeddock/gateway/inmemorystore.py
@@ -191,7 +191,7 @@
         """Check that the store responds."""
         self._begin_call()
 
-    async def register(self, entry: GatewayEntry) -> None:
+    async def register(self, entry: GatewayEntry, *, is_new: bool = False) -> None:
         """Write the entry of a gateway."""
         self._begin_call()
         self.put(Topic.GATEWAYS, entry.vm, entry)
--- a/knapweeddock/gateway/lookups.py
+++ b/knapweeddock/gateway/lookups.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
-from knapweeddock.gateway.peers import GatewayPhase, Heartbeat
+from knapweeddock.gateway.heartbeats import GatewayPhase, Member
 from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.ids import FailureDomainId, RegionId, VmId
 
@@ -17,7 +17,7 @@
     region: RegionId,
     failure_domain: FailureDomainId,
     gateways: Mapping[VmId, GatewayEntry],
-    heartbeats: Iterable[Heartbeat],
+    members: Iterable[Member],
     rng: random.Random,
 ) -> list[GatewayEntry]:
     """Return the gateways that a client may use, those of its failure domain first.
@@ -32,15 +32,15 @@
         region: Region of the client; any when "".
         failure_domain: Failure domain of the client.
         gateways: Registered gateways.
-        heartbeats: Latest heartbeats of the gateways that are alive.
+        members: Gateways that are alive.
         rng: Random source of the sample.
     """
     serving = [
-        gateways[heartbeat.vm]
-        for heartbeat in heartbeats
-        if heartbeat.phase is GatewayPhase.SERVING
-        and heartbeat.vm in gateways
-        and gateways[heartbeat.vm].incarnation == heartbeat.incarnation
+        gateways[member.vm]
+        for member in members
+        if member.phase is GatewayPhase.SERVING
+        and member.vm in gateways
+        and gateways[member.vm].incarnation == member.incarnation
     ]
     candidates = [entry for entry in serving if entry.region == region]
     if not candidates:
--- a/knapweeddock/gateway/processingtimes.py
+++ b/knapweeddock/gateway/processingtimes.py
@@ -14,6 +14,10 @@
 """Processing time for a cached and for an uncached object, relative to the target
 latency, that is assumed until responses are observed."""
 
+INITIAL_HIT_SHARE = 0.5
+"""Share of cached objects that is assumed among requests to an object's later preferred
+servers until responses are observed."""
+
 MAX_TRACKED_OBJECTS = 4096
 """Number of pairs of server and object that are tracked; the oldest are dropped."""
 
@@ -40,6 +44,7 @@
     def __init__(self) -> None:
         self._by_route: dict[tuple[RouteId, bool], float] = {}
         self._by_service: dict[ServiceId, float] = {}
+        self._hit_shares: dict[ServiceId, float] = {}
         self._requested_at: dict[ServiceId, dict[str, float]] = {}
         self._object_counts: dict[ServiceId, _ObjectCount] = {}
         self._handled_at: OrderedDict[tuple[ServerId, str], float] = OrderedDict()
@@ -79,6 +84,27 @@
         mean = self._by_service.get(service, processing_s)
         self._by_service[service] = mean + OBSERVATION_WEIGHT * (processing_s - mean)
 
+    def hit_share(self, service: ServiceId) -> float:
+        """Return how often a later preferred server has cached an object.
+
+        Other gateways may have sent requests for the object there. The more requests
+        concern the same objects, the more often they have.
+        """
+        return self._hit_shares.get(service, INITIAL_HIT_SHARE)
+
+    def observe_later_server(
+        self, route: Route, service: ServiceId, *, processing_s: float
+    ) -> None:
+        """Record the processing time at a server that may have cached the object.
+
+        Whether it had is told by which of the two expected times is nearer.
+        """
+        cached_s = self.expected_s(route, cached=True)
+        uncached_s = self.expected_s(route, cached=False)
+        was_cached = processing_s * processing_s < cached_s * uncached_s
+        share = self.hit_share(service)
+        self._hit_shares[service] = share + OBSERVATION_WEIGHT * (was_cached - share)
+
     def handled_recently(self, server: ServerId, key: str, now: float) -> bool:
         """Return whether a request for the object was sent to the server recently.
 
--- a/knapweeddock/gateway/registrations.py
+++ b/knapweeddock/gateway/registrations.py
@@ -68,6 +68,7 @@
 
     Attributes:
         own_entry: Entry of this gateway.
+        is_new: Whether this gateway has probably never registered before.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         gateways: Callable[[], Mapping[VmId, GatewayEntry]],
         live_gateways: Callable[[], Collection[VmId]],
         watches_store: Callable[[], bool],
+        is_new: bool = False,
         rng: random.Random,
     ) -> None:
         self.own_entry = own_entry
@@ -85,6 +87,7 @@
         self.gateways = gateways
         self.live_gateways = live_gateways
         self.watches_store = watches_store
+        self.is_new = is_new
         self.rng = rng
         self.expiry_tracker = ExpiryTracker()
         self._registered_era: Era | None = None
@@ -127,12 +130,13 @@
         """Write this gateway's registration, with retries until the store has accepted it."""
         while True:
             try:
-                await self.store_client.register(self.own_entry)
+                await self.store_client.register(self.own_entry, is_new=self.is_new)
             except StoreError as error:
                 log.warning("registration failed", reason=str(error))
                 await asyncio.sleep(REGISTER_RETRY_S * (0.5 + self.rng.random()))
             else:
                 log.info("registered", vm=self.own_entry.vm)
+                self.is_new = False
                 self._registered_era = self.store_client.era
                 self._lost_in_return.clear()
                 return
--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -1,9 +1,10 @@
-"""Relays the store's changes from one gateway to the others of its region.
+"""Relays the store's changes and the region feed from one gateway to the others of its region.
 
 The platform bills every call of the store, and if every gateway watched it, the number
 of calls would grow with the fleet. Instead, one gateway of each region watches the
 store; the others subscribe to it over TCP, or to a second one when it fails. In a
-region of very few gateways each one watches the store.
+region of very few gateways each one watches the store. Over the same connections the
+subscribers report to the relay, and its pulses carry what all of them report.
 """
 
 import asyncio
@@ -17,6 +18,7 @@
 
 from knapweeddock.errors import MessageError, PeerUnavailable
 from knapweeddock.gateway.records import Address, GatewayEntry, ServerEntry
+from knapweeddock.gateway.regionfeed import Pulse, RegionFeed, SubscriberReport
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import StoreObject, Topic
@@ -28,6 +30,12 @@
 PULSE_INTERVAL_S = 0.15
 """Interval in seconds of the pulses."""
 
+REPORT_INTERVAL_S = 0.25
+"""Interval in seconds at which a subscriber sends what is due to its relay."""
+
+SUBSCRIBER_TIMEOUT_S = 5.0
+"""Time in seconds without a report after which a relay disconnects a subscriber."""
+
 SOURCE_LOSS_DELAY_S = 0.15
 """Time in seconds for which a relay that has lost its source tries to reach the store
 before it tells its subscribers to leave."""
@@ -55,19 +63,6 @@
 """Type of the objects of each topic; an evacuation is the identifier of its domain."""
 
 
-class Pulse(msgspec.Struct, frozen=True, kw_only=True, tag="pulse"):
-    """Keepalive message, which tells subscribers whether the relay's source is reachable.
-
-    It follows all changes that the relay has applied so far.
-
-    Attributes:
-        connected: Whether the sender receives changes, from the store or from another
-            relay; subscribers leave when it does not.
-    """
-
-    connected: bool
-
-
 class EncodedUpdate(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
     """An ``Update`` as it is received.
 
@@ -83,10 +78,11 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(EncodedUpdate | Pulse)
+_report_decoder = msgspec.msgpack.Decoder(SubscriberReport)
 _item_decoders = {topic: msgspec.msgpack.Decoder(kind | None) for topic, kind in ITEM_TYPES.items()}
 
 
-def encode(message: Update | Pulse) -> bytes:
+def encode(message: Update | Pulse | SubscriberReport) -> bytes:
     """Return ``message`` encoded and prefixed with its length."""
     data = _encoder.encode(message)
     return LENGTH_PREFIX.pack(len(data)) + data
@@ -117,14 +113,27 @@
     )
 
 
+def decode_report(data: bytes) -> SubscriberReport:
+    """Decode a subscriber's message, without its length prefix.
+
+    Raises:
+        MessageError: The data is not a valid message.
+    """
+    try:
+        return _report_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise MessageError(f"cannot decode subscriber's message: {error}") from error
+
+
 class RelayServer:
-    """Sends the changes of the store cache to subscribers.
+    """Sends the changes of the store cache and the region feed to subscribers.
 
     A gateway that has just begun to watch the store sends no pulse until the store
     responds or ``SOURCE_LOSS_DELAY_S`` has passed, since its cache may be out of date;
     subscribers wait that long.
 
     Attributes:
+        feed: What the gateways of the region report.
         is_source_reachable: Returns whether the source of the store cache is reachable.
         server_removal_grace_s: Returns the seconds for which servers that the store no
             longer lists are kept.
@@ -135,10 +144,12 @@
         self,
         *,
         store_cache: StoreCache,
+        feed: RegionFeed,
         is_source_reachable: Callable[[], bool],
         server_removal_grace_s: Callable[[], float],
     ) -> None:
         self.store_cache = store_cache
+        self.feed = feed
         self.is_source_reachable = is_source_reachable
         self.server_removal_grace_s = server_removal_grace_s
         self.accepting = False
@@ -152,8 +163,12 @@
         return len(self._subscribers)
 
     def disconnect_subscribers(self) -> None:
-        """Disconnect all subscribers, and accept none until ``accepting`` is set again."""
+        """Disconnect all subscribers, and accept none until ``accepting`` is set again.
+
+        A last pulse tells them whether this gateway is leaving.
+        """
         self.accepting = False
+        self._broadcast_pulse()
         for writer in self._subscribers:
             writer.close()
         self._subscribers.clear()
@@ -161,23 +176,26 @@
     async def run(self) -> None:
         """Send pulses until cancelled."""
         while True:
-            pulse = self._current_pulse()
-            if self._subscribers and pulse is not None:
-                self._broadcast(encode(pulse))
+            self._broadcast_pulse()
             await asyncio.sleep(PULSE_INTERVAL_S)
 
-    def _current_pulse(self) -> Pulse | None:
-        """Return the pulse to send, or None while the source may still come back.
+    def _broadcast_pulse(self) -> None:
+        connected = self._is_connected()
+        if self._subscribers and connected is not None:
+            self._broadcast(encode(self.feed.take_pulse(time.monotonic(), connected=connected)))
+
+    def _is_connected(self) -> bool | None:
+        """Return what a pulse says of the source, or None while it may still come back.
 
         The first call after the loss of the source starts ``SOURCE_LOSS_DELAY_S``.
         """
         if self.is_source_reachable():
             self._source_lost_at = None
-            return Pulse(connected=True)
+            return True
         now = time.monotonic()
         if self._source_lost_at is None:
             self._source_lost_at = now
-        return Pulse(connected=False) if now - self._source_lost_at >= SOURCE_LOSS_DELAY_S else None
+        return False if now - self._source_lost_at >= SOURCE_LOSS_DELAY_S else None
 
     async def serve_subscriber(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -191,14 +209,29 @@
             writer.write(
                 encode(self.store_cache.full_update(topic, grace_s=self.server_removal_grace_s()))
             )
-        pulse = self._current_pulse()
-        if pulse is not None:
-            writer.write(encode(pulse))
+        connected = self._is_connected()
+        if connected is not None:
+            writer.write(encode(self.feed.first_pulse(time.monotonic(), connected=connected)))
         self._subscribers.add(writer)
-        with contextlib.suppress(ConnectionError):
-            await reader.read()
-        self._subscribers.discard(writer)
-        writer.close()
+        try:
+            await self._read_reports(reader)
+        finally:
+            self._subscribers.discard(writer)
+            writer.close()
+
+    async def _read_reports(self, reader: asyncio.StreamReader) -> None:
+        """Apply the reports of a subscriber until it disconnects."""
+        while True:
+            try:
+                async with asyncio.timeout(SUBSCRIBER_TIMEOUT_S):
+                    report = decode_report(await _read_frame(reader, "subscriber"))
+            except (OSError, asyncio.IncompleteReadError, TimeoutError):
+                # It has left; its heartbeats tell whether it lives.
+                return
+            except MessageError as error:
+                log.warning("subscriber disconnected", reason=str(error))
+                return
+            self.feed.apply_report(report, time.monotonic())
 
     def _broadcast_update(self, update: Update) -> None:
         if self._subscribers:
@@ -226,15 +259,20 @@
 
 
 async def subscribe(
-    store_cache: StoreCache, address: Address, *, on_pulse: Callable[[], None]
+    store_cache: StoreCache,
+    feed: RegionFeed,
+    address: Address,
+    *,
+    on_pulse: Callable[[], None],
 ) -> None:
-    """Apply the changes from the relay at ``address`` to ``store_cache``.
+    """Apply the changes and the feed from the relay at ``address``, and report to it.
 
     The cache keeps its content until the relay has sent its own. Never returns
     normally; the subscription ends with an error.
 
     Args:
         store_cache: Local copy of the store's objects.
+        feed: What this gateway knows of the others.
         address: Address of the relay.
         on_pulse: Called for each pulse of a relay whose source is reachable.
 
@@ -249,6 +287,8 @@
             reader, writer = await asyncio.open_connection(address[0], address[1])
     except (OSError, TimeoutError) as error:
         raise PeerUnavailable(f"{peer}: {error or 'connection timed out'}") from error
+    feed.start_subscription()
+    reporting = asyncio.create_task(_send_reports(feed, writer))
     try:
         while True:
             message = await _read_message(reader, peer)
@@ -256,19 +296,39 @@
                 case Update():
                     store_cache.apply_update(message)
                 case Pulse(connected=True):
+                    feed.apply_pulse(message, time.monotonic())
                     on_pulse()
                 case Pulse():
+                    feed.apply_pulse(message, time.monotonic())
                     raise PeerUnavailable(f"{peer}: the relay has lost its source")
     finally:
+        reporting.cancel()
         writer.transport.abort()
 
 
+async def _send_reports(feed: RegionFeed, writer: asyncio.StreamWriter) -> None:
+    while not writer.is_closing():
+        report = feed.take_report(time.monotonic())
+        if not report.is_empty:
+            writer.write(encode(report))
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+
 async def _read_message(reader: asyncio.StreamReader, peer: str) -> Update | Pulse:
     try:
         async with asyncio.timeout(RELAY_TIMEOUT_S):
-            (length,) = LENGTH_PREFIX.unpack(await reader.readexactly(LENGTH_PREFIX.size))
-            if length > MAX_MESSAGE_BYTES:
-                raise MessageError(f"{peer}: message of {length} bytes is too large")
-            return decode(await reader.readexactly(length))
+            return decode(await _read_frame(reader, peer))
     except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-        raise PeerUnavailable(f"{peer}: {error or 'no message in time'}") from error
+        raise PeerUnavailable(f"{peer}: {str(error) or 'no message in time'}") from error
+
+
+async def _read_frame(reader: asyncio.StreamReader, peer: str) -> bytes:
+    """Read a message without its length prefix.
+
+    Raises:
+        MessageError: The message is too large.
+    """
+    (length,) = LENGTH_PREFIX.unpack(await reader.readexactly(LENGTH_PREFIX.size))
+    if length > MAX_MESSAGE_BYTES:
+        raise MessageError(f"{peer}: message of {length} bytes is too large")
+    return await reader.readexactly(length)
--- a/knapweeddock/gateway/serverload.py
+++ b/knapweeddock/gateway/serverload.py
@@ -1,9 +1,11 @@
 """Estimate of the number of requests at a backend server.
 
-A server reports its load in its responses. Between two responses, the number of
-requests from other gateways is unknown. The last reported number decays exponentially,
-because the server finishes those requests and new ones of other gateways may go to
-another server.
+A server reports its load in its responses, to this gateway or to others that share it
+(``serverreports``). Between two reports, the number of requests from other gateways is
+unknown. The last reported number moves towards the mean of the reports of some seconds:
+the server finishes those requests, but as long as the gateways choose it as before, others
+follow. A gateway that expected none would send to the server again as soon as its report is
+older than the queue. Without reports the mean decays, too.
 """
 
 import math
@@ -12,7 +14,16 @@
 from dataclasses import dataclass
 
 DECAY_TIME_CONSTANT_S = 1.0
-"""Time constant in seconds with which the reported load of other gateways decays."""
+"""Time constant in seconds with which a report moves towards the mean of the reports."""
+
+MEAN_TIME_CONSTANT_S = 4.0
+"""Time constant in seconds of the mean of the reports, and of its decay without them."""
+
+MIN_REPORT_WEIGHT = 0.1
+"""Smallest weight of a report in the mean, however soon it follows the one before."""
+
+MAX_REPORT_WEIGHT = 0.5
+"""Largest weight of a report in the mean, however long none came before it."""
 
 MIN_EXPECTED_S = 0.05
 """Lower limit in seconds of the expected response time in ``oldest_pending_ratio``."""
@@ -45,12 +56,13 @@
         pending: Requests of this gateway that wait for their response, oldest first.
     """
 
-    __slots__ = ("_other_gateways_requests", "_updated_at", "pending", "slots")
+    __slots__ = ("_mean", "_other_gateways_requests", "_updated_at", "pending", "slots")
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.pending: list[PendingRequest] = []
         self._other_gateways_requests = 0.0
+        self._mean = 0.0
         self._updated_at = 0.0
 
     @property
@@ -82,25 +94,54 @@
 
     def record_reported_load(self, *, running: int, waiting: int, now: float) -> None:
         """Record the load reported in a response, which includes this gateway's requests."""
-        self._other_gateways_requests = float(max(0, running + waiting - self.own_requests))
-        self._updated_at = now
+        self._record(running + waiting - self.own_requests, now)
+
+    def record_shared_load(self, requests: int, *, observed_at: float) -> None:
+        """Record the load that another gateway has learned from a response.
+
+        Args:
+            requests: Number of requests that the server runs or queues.
+            observed_at: Monotonic time at which the server reported it.
+        """
+        if observed_at <= self._updated_at:
+            return
+        self._record(requests - self.own_requests, observed_at)
 
     def record_rejection(self, now: float) -> None:
         """Record that the server rejected a request because it was full."""
-        self._other_gateways_requests = max(
-            self.other_gateways_requests(now),
-            float(self.slots + ASSUMED_QUEUE_LENGTH - self.own_requests),
-        )
+        full = self.slots + ASSUMED_QUEUE_LENGTH - self.own_requests
+        self._record(max(self.other_gateways_requests(now), full), now)
+
+    def _record(self, other_gateways_requests: float, now: float) -> None:
+        requests = max(0.0, float(other_gateways_requests))
+        age_s = max(0.0, now - self._updated_at)
+        weight = 1 - math.exp(-age_s / MEAN_TIME_CONSTANT_S)
+        weight = min(MAX_REPORT_WEIGHT, max(MIN_REPORT_WEIGHT, weight))
+        mean = self._decayed_mean(age_s)
+        self._mean = mean + weight * (requests - mean)
+        self._other_gateways_requests = requests
         self._updated_at = now
 
+    def _decayed_mean(self, age_s: float) -> float:
+        return self._mean * math.exp(-age_s / MEAN_TIME_CONSTANT_S)
+
     def other_gateways_requests(self, now: float) -> float:
         """Return the estimated number of requests of other gateways."""
-        if not self._other_gateways_requests:
-            return 0.0
-        return self._other_gateways_requests * math.exp(
-            -max(0.0, now - self._updated_at) / DECAY_TIME_CONSTANT_S
+        age_s = max(0.0, now - self._updated_at)
+        mean = self._decayed_mean(age_s)
+        return mean + (self._other_gateways_requests - mean) * math.exp(
+            -age_s / DECAY_TIME_CONSTANT_S
         )
 
+    def certain_requests(self, now: float) -> float:
+        """Return how many requests are at the server as far as the last report is evidence.
+
+        Unlike ``total_requests``, it expects no requests after the report.
+        """
+        age_s = max(0.0, now - self._updated_at)
+        others = self._other_gateways_requests * math.exp(-age_s / DECAY_TIME_CONSTANT_S)
+        return self.own_requests + others
+
     def report_age_s(self, now: float) -> float:
         """Return the age in seconds of the latest report or rejection, -1 if there is none."""
         return round(now - self._updated_at, 3) if self._updated_at else -1.0
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -105,6 +105,7 @@
             home region, to which other gateways may have sent some. The preferred
             servers of a request without an object are the first ones in a random order.
         wait_s: Expected time in the server's queue, in seconds.
+        certain_wait_s: Time in the queue in seconds for which there is recent evidence.
         processing_s: Expected processing time in seconds, multiplied by the server's
             latency ratio.
         remote: Whether the server is in another region than this gateway.
@@ -114,6 +115,7 @@
     cached: bool
     cache_state_known: bool
     wait_s: float
+    certain_wait_s: float
     processing_s: float
     remote: bool
 
@@ -183,13 +185,13 @@
         best = self._best(request, regions, now) if regions else None
         if best is None:
             return self._reject_without_server(request, regions, now)
-        if best.wait_s > self._max_wait_s(request.route):
+        if best.certain_wait_s > self._max_wait_s(request.route):
             return self._reject(ResultCode.WAIT_TOO_LONG, best)
         # A request takes at least the processing time for a cached object, so one that
         # cannot finish before its deadline even then is rejected. The round trip to
         # another region is not counted.
         if (
-            best.wait_s + self.processing_times.measured_cached_s(request.route)
+            best.certain_wait_s + self.processing_times.measured_cached_s(request.route)
             > request.remaining_s
         ):
             return self._reject(ResultCode.WAIT_TOO_LONG, best)
@@ -351,20 +353,24 @@
             server.load.oldest_pending_ratio(now) * OLDEST_PENDING_FACTOR,
         )
         mean_s = self.processing_times.mean_s(request.service, request.route)
-        queue_ahead = server.load.total_requests(now) + 1 - server.entry.slots
         processing_s = self.processing_times.expected_s(request.route, cached=cached)
         if not cached and preferred_rank is not None:
             # Other gateways may have sent requests for the object to this server while
-            # the first preferred server was busy. The mean of both times is also expected
+            # the first preferred server was busy. A mean of both times is also expected
             # of requests without an object.
-            processing_s = (
-                processing_s + self.processing_times.expected_s(request.route, cached=True)
-            ) / 2
+            hit_share = self.processing_times.hit_share(request.service)
+            cached_s = self.processing_times.expected_s(request.route, cached=True)
+            processing_s += hit_share * (cached_s - processing_s)
+        slots = server.entry.slots
+        wait_per_request_s = mean_s * latency_ratio / slots
         return Selection(
             server=server,
             cached=cached,
             cache_state_known=handled_recently or preferred_rank is None,
-            wait_s=max(0.0, queue_ahead) / server.entry.slots * mean_s * latency_ratio,
+            wait_s=max(0.0, server.load.total_requests(now) + 1 - slots) * wait_per_request_s,
+            certain_wait_s=(
+                max(0.0, server.load.certain_requests(now) + 1 - slots) * wait_per_request_s
+            ),
             processing_s=processing_s * latency_ratio,
             remote=server.entry.region != self.region,
         )
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
@@ -18,14 +19,17 @@
 from knapweeddock.gateway.demand import SpilloverController
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.forward import Forwarder
+from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
-from knapweeddock.gateway.peers import GatewayPhase, Heartbeat, Peers, listen_for_heartbeats
+from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
+from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
 from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
@@ -36,7 +40,7 @@
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.messages import get_header_text
 from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
-from knapweeddock.ids import Incarnation, new_id
+from knapweeddock.ids import Incarnation, RegionId, VmId, new_id
 from knapweeddock.metrics import METRICS_PATH
 from knapweeddock.stalls import watch_from_now
 
@@ -111,14 +115,24 @@
             history_retention_s=self.settings.store.history_retention_s,
             rng=self.rng,
         )
-        self.peers = Peers(
+        self.report_board = ReportBoard(fleet=self.routing_state.fleet)
+        self.feed = RegionFeed(
             vm=self.settings.vm,
             region=self.settings.region,
-            gateways=lambda: list(self.routing_state.gateways.values()),
+            report_board=self.report_board,
             own_heartbeat=self._current_heartbeat,
+            region_sizes=self._region_sizes,
+        )
+        self.peers = Peers(
+            entry=self._registration_entry(),
+            feed=self.feed,
+            gateways=lambda: self.routing_state.gateways,
+            is_subscribed=lambda: self.update_source.is_subscribed,
+            is_relay=lambda: self.update_source.is_relay,
         )
         self.relay = RelayServer(
             store_cache=self.store_cache,
+            feed=self.feed,
             is_source_reachable=lambda: self.update_source.source_reachable,
             server_removal_grace_s=self.store_watcher.server_removal_grace_s,
         )
@@ -128,7 +142,9 @@
             store_cache=self.store_cache,
             store_watcher=self.store_watcher,
             relay=self.relay,
-            live_gateways=lambda: self.peers.live_gateways(time.monotonic()),
+            feed=self.feed,
+            live_gateways=self._live_gateways,
+            registered_gateways=lambda: self.routing_state.gateways_in(self.settings.region),
             address_of=self.peers.address_of,
             rng=self.rng,
         )
@@ -138,20 +154,20 @@
             own_entry=self._registration_entry(),
             store_client=self.store_client,
             gateways=lambda: self.routing_state.gateways,
-            live_gateways=lambda: self.peers.live_gateways(time.monotonic()),
+            live_gateways=self._live_gateways,
             watches_store=lambda: (
                 self.update_source.watches_store and self.update_source.source_reachable
             ),
+            is_new=self.settings.first_start,
             rng=self.rng,
         )
         self.store_cache.listeners.append(self.registrations.handle_update)
         self.spillover_controller = SpilloverController(
             region=self.settings.region,
-            gateways=lambda: self.routing_state.gateways.values(),
             fleet=self.routing_state.fleet,
             processing_times=self.processing_times,
             shift_limit=self.settings.limits.max_region_shift,
-            heartbeats=lambda: self.peers.live_heartbeats(time.monotonic()),
+            region_demands=lambda: self.feed.region_demands(time.monotonic()),
         )
 
     def _registration_entry(self) -> GatewayEntry:
@@ -172,6 +188,7 @@
             limits=limits,
             spillover_controller=self.spillover_controller,
             fleet=self.routing_state.fleet,
+            report_board=self.report_board,
             gateway_count=lambda: max(1, len(self.routing_state.gateways)),
             now=time.monotonic,
         )
@@ -294,9 +311,10 @@
             if self.phase is GatewayPhase.STARTING and self.routing_state.is_complete:
                 self.phase = GatewayPhase.SERVING
                 log.info("serving", version=self.routing_state.config.version)
-                self.peers.send_heartbeats()
+                self._announce_phase()
             fleet = self.routing_state.fleet
             self.routing_state.maintain()
+            self.feed.liveness.drop_silent(now)
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
@@ -314,7 +332,7 @@
         self.phase = GatewayPhase.LEAVING
         self.front_listener.draining = True
         self.relay.disconnect_subscribers()
-        self.peers.send_heartbeats()
+        self._announce_phase()
         log.info(
             "stopping",
             active=self.front_listener.active_request_count,
@@ -331,12 +349,26 @@
 
     # Heartbeats, metrics, readiness checks and look-ups
 
+    def _live_gateways(self) -> list[VmId]:
+        return self.feed.live_gateways(time.monotonic())
+
+    def _region_sizes(self) -> Counter[RegionId]:
+        return Counter(entry.region for entry in self.routing_state.gateways.values())
+
+    def _announce_phase(self) -> None:
+        """Tell the other gateways at once that the phase has changed."""
+        self.feed.announce()
+        self.peers.send()
+
     def _current_heartbeat(self) -> Heartbeat:
-        return Heartbeat(
+        member = Member(
             vm=self.settings.vm,
             incarnation=self.incarnation,
             phase=self.phase,
             region=self.settings.region,
+        )
+        return Heartbeat(
+            member=member,
             work=self.spillover_controller.offered_load(time.monotonic()),
             objects=self.spillover_controller.object_counts(time.monotonic()),
             shares=self.spillover_controller.shares(),
@@ -361,7 +393,7 @@
                 active_requests=self.front_listener.active_request_count,
                 client_connections=len(self.front_listener.connections),
                 servers=servers,
-                gateways_alive=len(self.peers.live_heartbeats(now)),
+                gateways_alive=len(self.feed.liveness.live_members(now)),
                 server_connections_opened=self.connection_pool.connections_opened,
                 probes_sent=self.prober.probes_sent,
                 retries_left=self.attempt_tracker.remaining_retries(),
@@ -398,7 +430,7 @@
             region=query.region,
             failure_domain=query.failure_domain,
             gateways=self.routing_state.gateways,
-            heartbeats=[self._current_heartbeat(), *self.peers.live_heartbeats(time.monotonic())],
+            members=self.feed.live_members(time.monotonic()),
             rng=self.rng,
         )
         ttl_s = LOOKUP_TTL_FRACTION * self.settings.limits.max_lookup_ttl_s
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -83,6 +83,7 @@
             subscriptions to the store's changes over TCP.
         store: Settings of the platform's store.
         limits: Limits of the deployment.
+        first_start: Whether the whole deployment starts for the first time.
     """
 
     vm: VmId
@@ -95,6 +96,7 @@
     peer: Address
     store: StoreSettings
     limits: GatewayLimits = field(default_factory=GatewayLimits)
+    first_start: bool = False
 
     @property
     def region(self) -> RegionId:
--- a/knapweeddock/gateway/storeclient.py
+++ b/knapweeddock/gateway/storeclient.py
@@ -117,9 +117,13 @@
         """Check that the store responds within ``timeout_s`` seconds."""
 
     @abstractmethod
-    async def register(self, entry: GatewayEntry) -> None:
+    async def register(self, entry: GatewayEntry, *, is_new: bool = False) -> None:
         """Write the entry of this gateway.
 
+        Args:
+            entry: The entry.
+            is_new: Whether it probably does not exist yet, which saves a call.
+
         Raises:
             OutcomeUnknown: The response was lost; the entry may have been written.
         """
--- a/knapweeddock/gateway/storewatcher.py
+++ b/knapweeddock/gateway/storewatcher.py
@@ -105,10 +105,10 @@
         """
         return self._store_reachable.is_set()
 
-    async def list_missing_topics(self) -> None:
-        """List the topics that are not in the store cache, with retries until all of them are."""
+    async def list_missing_topics(self, topics: Iterable[Topic]) -> None:
+        """List those of ``topics`` that are not in the store cache, with retries until they are."""
         async with asyncio.TaskGroup() as group:
-            for topic in Topic:
+            for topic in topics:
                 if not self.store_cache.is_listed(topic):
                     group.create_task(self._list_until_success(topic))
 
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -33,7 +33,8 @@
     """Load that a server reports in a response.
 
     Attributes:
-        running: Number of requests that the server is running.
+        running: Number of requests that the server is running, not counting the one that
+            it responds to.
         waiting: Number of requests in its queue.
     """
 
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -123,11 +123,17 @@
         self._checked_era(path, response)
         _check(path, response)
 
-    async def register(self, entry: GatewayEntry) -> None:
+    async def register(self, entry: GatewayEntry, *, is_new: bool = False) -> None:
         """Write the entry of this gateway."""
         path = f"{_path(Topic.GATEWAYS)}/{quote(entry.vm, safe='')}"
         document = {"Metadata": {"Name": entry.vm}, "Spec": encode_gateway(entry)}
         body = msgspec.json.encode(document)
+        if is_new:
+            try:
+                await self._write(HTTPMethod.POST, _path(Topic.GATEWAYS), body)
+            except VersionConflict:
+                await self._write(HTTPMethod.PUT, path, body)
+            return
         response = await self._write(HTTPMethod.PUT, path, body)
         if response.status == HTTPStatus.NOT_FOUND:
             await self._write(HTTPMethod.POST, _path(Topic.GATEWAYS), body)
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -187,7 +187,8 @@
     parts = get_header_text(headers, LOAD).split(",")
     if len(parts) < 2 or not all(_is_count(part.strip()) for part in parts):
         return None
-    return ReportedLoad(running=int(parts[0]), waiting=int(parts[1]))
+    # The platform counts the request that is being answered among the running ones.
+    return ReportedLoad(running=max(0, int(parts[0]) - 1), waiting=int(parts[1]))
 
 
 def _is_count(text: str) -> bool:
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -134,7 +134,8 @@
         return self._answer(request, identifier)
 
     def _answer(self, request: web.Request, identifier: str) -> web.Response:
-        load = f"{self.running},{self.waiting},{self.slots}"
+        # The request that is being answered counts as running.
+        load = f"{self.running + 1},{self.waiting},{self.slots}"
         headers = {"Request-Id": identifier, "Server-Load": load}
         if self.fault is not ServerFault.UNSIGNED:
             headers["Response-Signature"] = SIGNATURE
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -3,10 +3,13 @@
 import random
 
 from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
+from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
 from knapweeddock.gateway.serverload import PendingRequest
+from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.storeposition import StorePosition
@@ -60,6 +63,35 @@
     return GatewayEntry(**{**values, **changes})
 
 
+def make_member(vm: str, **changes) -> Member:
+    values = {
+        "vm": vm,
+        "incarnation": f"{vm}-1",
+        "phase": GatewayPhase.SERVING,
+        "region": REGION,
+    }
+    return Member(**{**values, **changes})
+
+
+def make_heartbeat(vm: str, *, region: str = REGION, **changes) -> Heartbeat:
+    values = {
+        "member": make_member(vm, region=region),
+        "work": {SERVICE: 1.5},
+        "objects": {SERVICE: 40},
+        "shares": {},
+    }
+    return Heartbeat(**{**values, **changes})
+
+
+def make_feed(vm: str, *, region: str = REGION, **changes) -> RegionFeed:
+    values = {
+        "report_board": ReportBoard(fleet=Fleet()),
+        "own_heartbeat": lambda: make_heartbeat(vm, region=region),
+        "region_sizes": lambda: {region: 1},
+    }
+    return RegionFeed(vm=vm, region=region, **{**values, **changes})
+
+
 def make_fleet(*entries: ServerEntry) -> Fleet:
     fleet = Fleet()
     fleet.replace_all(entries, 0.0, grace_s=0.0)
--- a/tests/gateway/test_updatesource.py
+++ b/tests/gateway/test_updatesource.py
@@ -17,6 +17,7 @@
 from knapweeddock.gateway.storewatcher import StoreWatcher
 from knapweeddock.gateway.updatesource import RELAYS_PER_REGION, UpdateSource, choose_relays
 from knapweeddock.rendezvous import weighted_order
+from tests.gateway.support import make_feed
 from tests.platform.world import free_port
 from tests.waiting import until
 
@@ -69,8 +70,10 @@
             history_retention_s=20.0,
             rng=random.Random(1),
         )
+        feed = make_feed(vm)
         self.relay = RelayServer(
             store_cache=self.store_cache,
+            feed=feed,
             is_source_reachable=lambda: self.update_source.source_reachable,
             server_removal_grace_s=self.store_watcher.server_removal_grace_s,
         )
@@ -80,6 +83,8 @@
             store_cache=self.store_cache,
             store_watcher=self.store_watcher,
             relay=self.relay,
+            feed=feed,
+            registered_gateways=lambda: sorted(region.members),
             live_gateways=lambda: sorted(region.members),
             address_of=lambda vm: region.members[vm].address if vm in region.members else None,
             rng=random.Random(1),
