List two tests that fail for large configurations, with the incident's timeline

The gateways that watch the store had each version within 0.1 to 0.2 s. So it is not the store: it is the bytes that relays send, and subscribers that leave in the middle of a transfer.

--- /dev/null
+++ b/tests/gateway/test_large_configurations.py
@@ -0,0 +1,79 @@
+"""Large configurations on narrow links, between a relay and its subscribers."""
+
+import dataclasses
+
+from knapweeddock.gateway.routes import Route, RoutingConfig, ServicePolicy
+from knapweeddock.gateway.storeclient import Change, ChangeBatch, Topic
+from tests.gateway.slowlink import slow_link
+from tests.gateway.support import SERVICE, at, make_route
+from tests.gateway.test_relay import running_relay, running_subscriber
+from tests.waiting import until
+
+ROUTE_COUNT = 2000
+
+NARROW_LINK_BYTES_PER_S = 10e6 / 8
+CONFIG_BOUND_S = 2.0
+"""Time within which a change must be in force everywhere."""
+
+REGION_SIZE = 65
+"""Gateways of a region of a deployment of 195 VMs."""
+
+
+def large_config(*, version: int) -> RoutingConfig:
+    return RoutingConfig(
+        version=version,
+        routes=tuple(large_route(number) for number in range(ROUTE_COUNT)),
+        services={SERVICE: ServicePolicy(service=SERVICE, warmup_s=3.0)},
+    )
+
+
+def large_route(number: int) -> Route:
+    token = f"{number * 2654435761 % 2**32:08x}"
+    return make_route(route=f"r-{token}", host=f"{token}.example", path_prefix=f"/{token[::-1]}/")
+
+
+def with_other_timeout(config: RoutingConfig, *, version: int) -> RoutingConfig:
+    first, *others = config.routes
+    return dataclasses.replace(
+        config, version=version, routes=(dataclasses.replace(first, timeout_s=9.0), *others)
+    )
+
+
+def config_change(config: RoutingConfig, revision: int) -> ChangeBatch:
+    return ChangeBatch(changes=[Change(name="main", item=config)], position=at(revision))
+
+
+async def test_subscriber_stays_with_a_relay_while_a_large_message_arrives(monkeypatch):
+    # A message that takes longer than the relay may be silent is not silence. A subscriber
+    # that leaves in the middle starts the same transfer anew at the next relay.
+    async with running_relay(monkeypatch) as (relay, address):
+        config = large_config(version=8)
+        relay.store_cache.apply_changes(Topic.CONFIGURATION, config_change(config, 11), grace_s=0.0)
+        async with (
+            slow_link(address, bytes_per_s=40_000.0) as link,
+            running_subscriber(link.address) as (store_cache, task),
+        ):
+            await until(lambda: store_cache.is_complete or task.done())
+            assert store_cache.items[Topic.CONFIGURATION] == {"main": config}
+
+
+async def test_change_of_one_route_is_not_sent_as_the_whole_configuration(monkeypatch):
+    # A relay sends each change to every subscriber, so the whole configuration of thousands
+    # of routes takes longer on a narrow link than a change may take to be in force.
+    limit_bytes = NARROW_LINK_BYTES_PER_S * CONFIG_BOUND_S / REGION_SIZE
+    async with running_relay(monkeypatch) as (relay, address):
+        config = large_config(version=8)
+        relay.store_cache.apply_changes(Topic.CONFIGURATION, config_change(config, 11), grace_s=0.0)
+        async with (
+            slow_link(address, bytes_per_s=1e9) as link,
+            running_subscriber(link.address) as (store_cache, _),
+        ):
+            await until(lambda: store_cache.is_complete)
+            before = link.passed_bytes
+            changed = with_other_timeout(config, version=9)
+            relay.store_cache.apply_changes(
+                Topic.CONFIGURATION, config_change(changed, 12), grace_s=0.0
+            )
+            await until(lambda: store_cache.items[Topic.CONFIGURATION]["main"].version == 9)
+            assert store_cache.items[Topic.CONFIGURATION] == {"main": changed}
+            assert link.passed_bytes - before < limit_bytes
