Let a subscriber stay with a relay while a long message arrives

A subscriber left its relay after 0.7 s without a whole message.

The class of fault is a timeout on a whole transfer that is meant for silence.

--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -41,7 +41,11 @@
 before it tells its subscribers to leave."""
 
 RELAY_TIMEOUT_S = 0.7
-"""Time in seconds without a message after which a subscriber leaves its relay."""
+"""Time in seconds without any bytes after which a subscriber leaves its relay. A large message
+on a narrow link may take longer than that, but its bytes keep arriving."""
+
+READ_BYTES = 64 * 1024
+"""Largest number of bytes that are read at once."""
 
 CONNECT_TIMEOUT_S = 0.3
 """Timeout in seconds for connecting to a relay, which is in the same region."""
@@ -264,6 +268,7 @@
     address: Address,
     *,
     on_pulse: Callable[[], None],
+    on_progress: Callable[[], None] = lambda: None,
 ) -> None:
     """Apply the changes and the feed from the relay at ``address``, and report to it.
 
@@ -275,6 +280,7 @@
         feed: What this gateway knows of the others.
         address: Address of the relay.
         on_pulse: Called for each pulse of a relay whose source is reachable.
+        on_progress: Called for each part of a message that takes long to arrive.
 
     Raises:
         PeerUnavailable: The relay is unreachable, silent, has closed the connection, or
@@ -291,7 +297,7 @@
     reporting = asyncio.create_task(_send_reports(feed, writer))
     try:
         while True:
-            message = await _read_message(reader, peer)
+            message = await _read_message(reader, peer, on_progress)
             match message:
                 case Update():
                     store_cache.apply_update(message)
@@ -314,21 +320,45 @@
         await asyncio.sleep(REPORT_INTERVAL_S)
 
 
-async def _read_message(reader: asyncio.StreamReader, peer: str) -> Update | Pulse:
+async def _read_message(
+    reader: asyncio.StreamReader, peer: str, on_progress: Callable[[], None]
+) -> Update | Pulse:
     try:
-        async with asyncio.timeout(RELAY_TIMEOUT_S):
-            return decode(await _read_frame(reader, peer))
+        async with asyncio.timeout(RELAY_TIMEOUT_S) as timeout:
+
+            def extend() -> None:
+                timeout.reschedule(asyncio.get_running_loop().time() + RELAY_TIMEOUT_S)
+                on_progress()
+
+            return decode(await _read_frame(reader, peer, extend))
     except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-        raise PeerUnavailable(f"{peer}: {str(error) or 'no message in time'}") from error
+        raise PeerUnavailable(f"{peer}: {str(error) or 'silent'}") from error
 
 
-async def _read_frame(reader: asyncio.StreamReader, peer: str) -> bytes:
+async def _read_frame(
+    reader: asyncio.StreamReader, peer: str, on_progress: Callable[[], None] = lambda: None
+) -> bytes:
     """Read a message without its length prefix.
 
+    Args:
+        reader: Where to read.
+        peer: Who sends the message.
+        on_progress: Called for each part of the message but the last one.
+
     Raises:
         MessageError: The message is too large.
     """
     (length,) = LENGTH_PREFIX.unpack(await reader.readexactly(LENGTH_PREFIX.size))
     if length > MAX_MESSAGE_BYTES:
         raise MessageError(f"{peer}: message of {length} bytes is too large")
-    return await reader.readexactly(length)
+    parts = []
+    remaining = length
+    while remaining > 0:
+        part = await reader.read(min(remaining, READ_BYTES))
+        if not part:
+            raise asyncio.IncompleteReadError(b"".join(parts), length)
+        parts.append(part)
+        remaining -= len(part)
+        if remaining > 0:
+            on_progress()
+    return b"".join(parts)
--- a/knapweeddock/gateway/updatesource.py
+++ b/knapweeddock/gateway/updatesource.py
@@ -96,6 +96,7 @@
         self.watches_store = True
         self.watching_since = float("-inf")
         self.last_confirmed_at = time.monotonic()
+        self._is_confirmed = False
 
     @property
     def source_reachable(self) -> bool:
@@ -219,11 +220,28 @@
         if address is None:
             return
         self.watches_store = False
+        self._is_confirmed = False
         log.info("taking changes from a relay", relay=vm)
         try:
-            await subscribe(self.store_cache, self.feed, address, on_pulse=self._record_pulse)
+            await subscribe(
+                self.store_cache,
+                self.feed,
+                address,
+                on_pulse=self._record_pulse,
+                on_progress=self._record_progress,
+            )
         except (PeerUnavailable, MessageError) as error:
             log.info("relay lost", relay=vm, reason=str(error))
 
     def _record_pulse(self) -> None:
+        self._is_confirmed = True
         self.last_confirmed_at = time.monotonic()
+
+    def _record_progress(self) -> None:
+        """Count the parts of a long message as pulses, since the pulses wait behind it.
+
+        Those of the first message do not count: it is not known yet whether the relay's own
+        source is reachable.
+        """
+        if self._is_confirmed:
+            self.last_confirmed_at = time.monotonic()
