Relay changes through a tree of bounded fan-out, over the widest links first

The time grew with the region.

The class of fault is a star whose centre is any VM. Now the gateways with the widest links come first (their bandwidth is in the settings and in their registration); one root watches the store, and in a region of more than 11 a few relays subscribe to it, each with about 10 subscribers. A pulse states how far its sender is from the store, so no circle of relays lasts. A subscriber says up to which position it knows each topic and is sent what has changed since, so the loss of a relay costs no transfer; gateways return to their relay when it is back, and a relay that has lost its root keeps its subscribers while it looks for the next one.

--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -14,6 +14,7 @@
 from knapweeddock.gateway.heartbeats import HEARTBEAT_INTERVAL_S, Heartbeat, RegionSummary
 from knapweeddock.gateway.records import Address, GatewayEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
+from knapweeddock.gateway.relaytree import relay_order
 from knapweeddock.ids import RegionId, VmId
 from knapweeddock.rendezvous import weighted_order
 
@@ -31,15 +32,6 @@
 reaches one in most cases; the others pass it on to theirs."""
 
 
-def relay_order(region: RegionId, gateways: Iterable[VmId]) -> list[VmId]:
-    """Return gateways of ``region`` in the order in which they are preferred as relays.
-
-    Gateways that know different sets of gateways still agree on the order of any two of
-    them, so no two gateways subscribe to each other.
-    """
-    return weighted_order(f"watch {region}", dict.fromkeys(gateways, 1.0))
-
-
 class Peers(asyncio.DatagramProtocol):
     """Sends and receives datagrams.
 
@@ -130,7 +122,8 @@
         limit = MAX_OWN_REGION_RECEIVERS if region == own.region else MAX_OTHER_REGION_RECEIVERS
         candidates = list(entries)
         if len(candidates) > limit:
-            first = relay_order(region, candidates)[:FIRST_RELAYS]
+            links_mbps = {vm: entry.link_mbps for vm, entry in entries.items()}
+            first = relay_order(region, links_mbps)[:FIRST_RELAYS]
             others = weighted_order(own.vm, dict.fromkeys(candidates, 1.0))
             candidates = list(dict.fromkeys([*first, *others]))[:limit]
         chosen += [entries[candidate] for candidate in candidates]
--- a/knapweeddock/gateway/records.py
+++ b/knapweeddock/gateway/records.py
@@ -56,6 +56,7 @@
         region: Region of that failure domain.
         front_address: Address for connections of clients.
         peer_address: Address for heartbeats (UDP) and relay subscribers (TCP).
+        link_mbps: Bandwidth of its VM's network link in Mbit/s; 0 if it is not known.
     """
 
     vm: VmId
@@ -64,3 +65,4 @@
     region: RegionId
     front_address: Address
     peer_address: Address
+    link_mbps: float = 0.0
--- a/knapweeddock/gateway/regionfeed.py
+++ b/knapweeddock/gateway/regionfeed.py
@@ -23,6 +23,8 @@
 )
 from knapweeddock.gateway.liveness import Liveness
 from knapweeddock.gateway.serverreports import ReportBoard, ServerReport
+from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.gateway.storeposition import StorePosition
 from knapweeddock.ids import RegionId, VmId
 from knapweeddock.rendezvous import weighted_order
 
@@ -42,6 +44,7 @@
     Attributes:
         connected: Whether the sender receives changes, from the store or from another
             relay; subscribers leave when it does not.
+        depth: Number of relays between the sender and the store.
         complete: Whether ``members`` are all live gateways, as in the first pulse of a
             subscription.
         members: Live gateways that have appeared or changed since the last pulse.
@@ -51,6 +54,7 @@
     """
 
     connected: bool
+    depth: int = 0
     complete: bool = False
     members: list[Member] = []
     gone: list[VmId] = []
@@ -65,11 +69,14 @@
         heartbeats: Its own heartbeat, and those of gateways that the relay may not hear.
         summaries: Summaries of other regions that it has received.
         reports: Reports of backend servers.
+        known: Positions up to which it knows the topics, in its first message to a relay,
+            which then sends only those that have changed since.
     """
 
     heartbeats: list[Heartbeat] = []
     summaries: list[RegionSummary] = []
     reports: list[ServerReport] = []
+    known: dict[Topic, StorePosition] = {}
 
     @property
     def is_empty(self) -> bool:
@@ -152,8 +159,14 @@
             self.record_summary(summary, now)
         self.report_board.merge(report.reports, now, from_relay=False)
 
-    def take_pulse(self, now: float, *, connected: bool) -> Pulse:
-        """Return the pulse for all subscribers."""
+    def take_pulse(self, now: float, *, connected: bool, depth: int = 0) -> Pulse:
+        """Return the pulse for all subscribers.
+
+        Args:
+            now: Monotonic time.
+            connected: Whether this gateway receives changes.
+            depth: Number of relays between this gateway and the store.
+        """
         members = self._all_members(now)
         changed = [member for vm, member in members.items() if self._told_members.get(vm) != member]
         gone = [vm for vm in self._told_members if vm not in members]
@@ -164,16 +177,18 @@
             demands = self.region_demands(now)
         return Pulse(
             connected=connected,
+            depth=depth,
             members=changed,
             gone=gone,
             demands=demands,
             reports=self.report_board.take_down(now),
         )
 
-    def first_pulse(self, now: float, *, connected: bool) -> Pulse:
+    def first_pulse(self, now: float, *, connected: bool, depth: int = 0) -> Pulse:
         """Return the pulse with which a subscription begins."""
         return Pulse(
             connected=connected,
+            depth=depth,
             complete=True,
             members=list(self._all_members(now).values()),
             demands=self.region_demands(now),
--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -2,9 +2,10 @@
 
 The platform bills every call of the store, and if every gateway watched it, the number
 of calls would grow with the fleet. Instead, one gateway of each region watches the
-store; the others subscribe to it over TCP, or to a second one when it fails. In a
-region of very few gateways each one watches the store. Over the same connections the
-subscribers report to the relay, and its pulses carry what all of them report.
+store; the others subscribe to it over TCP, in a large region through further relays
+(``relaytree``). In a region of very few gateways each one watches the store. Over the same
+connections the subscribers report to the relay, and its pulses carry what all of them
+report.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
 import time
 import zlib
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 
 import msgspec
 import structlog
@@ -21,6 +23,7 @@
 from knapweeddock.gateway.configpatch import ConfigPatch, apply_patch, make_patch
 from knapweeddock.gateway.records import Address, GatewayEntry, ServerEntry
 from knapweeddock.gateway.regionfeed import Pulse, RegionFeed, SubscriberReport
+from knapweeddock.gateway.relaytree import MAX_RELAY_DEPTH
 from knapweeddock.gateway.routes import RoutingConfig
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import StoreObject, Topic
@@ -39,8 +42,15 @@
 """Time in seconds without a report after which a relay disconnects a subscriber."""
 
 SOURCE_LOSS_DELAY_S = 0.15
-"""Time in seconds for which a relay that has lost its source tries to reach the store
-before it tells its subscribers to leave."""
+"""Time in seconds for which a relay that has lost the store tries to reach it again before it
+tells its subscribers to leave."""
+
+RELAY_CHANGE_DELAY_S = 0.4
+"""Time in seconds for which a relay that has lost its own relay looks for another one before
+it tells its subscribers to leave: they would only look for the same one."""
+
+FIRST_REPORT_TIMEOUT_S = 0.5
+"""Time in seconds within which a subscriber must send its first report."""
 
 RELAY_TIMEOUT_S = 0.7
 """Time in seconds without any bytes after which a subscriber leaves its relay. A large message
@@ -193,6 +203,13 @@
         raise MessageError(f"cannot decode subscriber's message: {error}") from error
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _EncodedState:
+    position: StorePosition
+    grace_s: float
+    data: bytes
+
+
 class RelayServer:
     """Sends the changes of the store cache and the region feed to subscribers.
 
@@ -203,9 +220,10 @@
     Attributes:
         feed: What the gateways of the region report.
         is_source_reachable: Returns whether the source of the store cache is reachable.
+        depth: Returns the number of relays between this gateway and the store.
         server_removal_grace_s: Returns the seconds for which servers that the store no
             longer lists are kept.
-        accepting: Whether subscribers are accepted.
+        closed: Whether it no longer accepts subscribers, since the gateway shuts down.
     """
 
     def __init__(
@@ -214,17 +232,20 @@
         store_cache: StoreCache,
         feed: RegionFeed,
         is_source_reachable: Callable[[], bool],
+        depth: Callable[[], int],
         server_removal_grace_s: Callable[[], float],
     ) -> None:
         self.store_cache = store_cache
         self.feed = feed
         self.is_source_reachable = is_source_reachable
+        self.depth = depth
         self.server_removal_grace_s = server_removal_grace_s
-        self.accepting = False
+        self.closed = False
         self._source_lost_at: float | None = None
         self._subscribers: set[asyncio.StreamWriter] = set()
         self._sent_configs: dict[str, StoreObject] = {}
         self._sent_era: Era | None = None
+        self._encoded_states: dict[Topic, _EncodedState] = {}
         self._note_sent_configs()
         store_cache.listeners.append(self._broadcast_update)
 
@@ -233,12 +254,18 @@
         """Number of connected subscribers."""
         return len(self._subscribers)
 
-    def disconnect_subscribers(self) -> None:
-        """Disconnect all subscribers, and accept none until ``accepting`` is set again.
+    @property
+    def accepting(self) -> bool:
+        """Whether subscribers are accepted."""
+        is_near = self.depth() <= MAX_RELAY_DEPTH
+        return is_near and not self.closed and self.store_cache.is_complete
+
+    def close(self) -> None:
+        """Disconnect all subscribers, and accept no more.
 
-        A last pulse tells them whether this gateway is leaving.
+        A last pulse tells them that this gateway is leaving.
         """
-        self.accepting = False
+        self.closed = True
         self._broadcast_pulse()
         for writer in self._subscribers:
             writer.close()
@@ -253,12 +280,14 @@
     def _broadcast_pulse(self) -> None:
         connected = self._is_connected()
         if self._subscribers and connected is not None:
-            self._broadcast(encode(self.feed.take_pulse(time.monotonic(), connected=connected)))
+            now = time.monotonic()
+            pulse = self.feed.take_pulse(now, connected=connected, depth=self.depth())
+            self._broadcast(encode(pulse))
 
     def _is_connected(self) -> bool | None:
         """Return what a pulse says of the source, or None while it may still come back.
 
-        The first call after the loss of the source starts ``SOURCE_LOSS_DELAY_S``.
+        The first call after the loss of the source starts the delay.
         """
         if self.is_source_reachable():
             self._source_lost_at = None
@@ -266,30 +295,53 @@
         now = time.monotonic()
         if self._source_lost_at is None:
             self._source_lost_at = now
-        return False if now - self._source_lost_at >= SOURCE_LOSS_DELAY_S else None
+        delay_s = RELAY_CHANGE_DELAY_S if self.depth() > 0 else SOURCE_LOSS_DELAY_S
+        return False if now - self._source_lost_at >= delay_s else None
 
     async def serve_subscriber(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one subscriber until it disconnects."""
-        if not self.accepting or not self.store_cache.is_complete:
+        report = await self._read_first_report(reader)
+        if report is None or not self.accepting:
             writer.close()
             return
         # Without an await before the subscriber is added, no update can be missed.
         for topic in Topic:
-            writer.write(
-                encode(self.store_cache.full_update(topic, grace_s=self.server_removal_grace_s()))
-            )
+            if self.store_cache.has_changed_since(topic, report.known.get(topic)):
+                writer.write(self._encoded_state(topic))
+        now = time.monotonic()
         connected = self._is_connected()
         if connected is not None:
-            writer.write(encode(self.feed.first_pulse(time.monotonic(), connected=connected)))
+            pulse = self.feed.first_pulse(now, connected=connected, depth=self.depth())
+            writer.write(encode(pulse))
         self._subscribers.add(writer)
         try:
+            self.feed.apply_report(report, now)
             await self._read_reports(reader)
         finally:
             self._subscribers.discard(writer)
             writer.close()
 
+    async def _read_first_report(self, reader: asyncio.StreamReader) -> SubscriberReport | None:
+        try:
+            async with asyncio.timeout(FIRST_REPORT_TIMEOUT_S):
+                return decode_report(await _read_frame(reader, "subscriber"))
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, MessageError) as error:
+            log.info("no subscription", reason=str(error) or "silent")
+            return None
+
+    def _encoded_state(self, topic: Topic) -> bytes:
+        """Return all objects of ``topic``, encoded once for all that subscribe together."""
+        grace_s = round(self.server_removal_grace_s(), 1)
+        state = self._encoded_states.get(topic)
+        position = self.store_cache.positions[topic]
+        if state is None or state.position != position or state.grace_s != grace_s:
+            data = encode(self.store_cache.full_update(topic, grace_s=grace_s))
+            state = _EncodedState(position=position, grace_s=grace_s, data=data)
+            self._encoded_states[topic] = state
+        return state.data
+
     async def _read_reports(self, reader: asyncio.StreamReader) -> None:
         """Apply the reports of a subscriber until it disconnects."""
         while True:
@@ -352,7 +404,7 @@
     try:
         yield
     finally:
-        relay.disconnect_subscribers()
+        relay.close()
         server.close()
 
 
@@ -361,7 +413,7 @@
     feed: RegionFeed,
     address: Address,
     *,
-    on_pulse: Callable[[], None],
+    on_pulse: Callable[[Pulse], None],
     on_progress: Callable[[], None] = lambda: None,
 ) -> None:
     """Apply the changes and the feed from the relay at ``address``, and report to it.
@@ -373,12 +425,13 @@
         store_cache: Local copy of the store's objects.
         feed: What this gateway knows of the others.
         address: Address of the relay.
-        on_pulse: Called for each pulse of a relay whose source is reachable.
+        on_pulse: Called for each pulse after it has been applied; it raises
+            ``PeerUnavailable`` to leave the relay.
         on_progress: Called for each part of a message that takes long to arrive.
 
     Raises:
         PeerUnavailable: The relay is unreachable, silent, has closed the connection, or
-            has lost its source.
+            ``on_pulse`` leaves it.
         MessageError: The relay sent an invalid message.
     """
     peer = f"{address[0]}:{address[1]}"
@@ -386,8 +439,11 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(address[0], address[1])
     except (OSError, TimeoutError) as error:
-        raise PeerUnavailable(f"{peer}: {error or 'connection timed out'}") from error
+        raise PeerUnavailable(f"{peer}: {str(error) or 'connection timed out'}") from error
     feed.start_subscription()
+    first_report = feed.take_report(time.monotonic())
+    known = store_cache.known_positions()
+    writer.write(encode_report(msgspec.structs.replace(first_report, known=known)))
     reporting = asyncio.create_task(_send_reports(feed, writer))
     try:
         while True:
@@ -397,12 +453,9 @@
                     store_cache.apply_update(message)
                 case ConfigUpdate():
                     store_cache.apply_update(to_update(message, store_cache))
-                case Pulse(connected=True):
-                    feed.apply_pulse(message, time.monotonic())
-                    on_pulse()
                 case Pulse():
                     feed.apply_pulse(message, time.monotonic())
-                    raise PeerUnavailable(f"{peer}: the relay has lost its source")
+                    on_pulse(message)
     finally:
         reporting.cancel()
         writer.transport.abort()
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -134,17 +134,17 @@
             store_cache=self.store_cache,
             feed=self.feed,
             is_source_reachable=lambda: self.update_source.source_reachable,
+            depth=lambda: self.update_source.depth,
             server_removal_grace_s=self.store_watcher.server_removal_grace_s,
         )
         self.update_source = UpdateSource(
-            vm=self.settings.vm,
-            region=self.settings.region,
+            own_entry=self._registration_entry(),
             store_cache=self.store_cache,
             store_watcher=self.store_watcher,
             relay=self.relay,
             feed=self.feed,
             live_gateways=self._live_gateways,
-            registered_gateways=lambda: self.routing_state.gateways_in(self.settings.region),
+            registered_gateways=lambda: self.routing_state.gateways,
             address_of=self.peers.address_of,
             rng=self.rng,
         )
@@ -179,6 +179,7 @@
             region=settings.region,
             front_address=settings.front,
             peer_address=settings.peer,
+            link_mbps=settings.link_mbps,
         )
 
     def _build_forwarding(self) -> None:
@@ -331,7 +332,7 @@
         timeout_s = self.settings.limits.shutdown_timeout_s
         self.phase = GatewayPhase.LEAVING
         self.front_listener.draining = True
-        self.relay.disconnect_subscribers()
+        self.relay.close()
         self._announce_phase()
         log.info(
             "stopping",
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -83,6 +83,7 @@
             subscriptions to the store's changes over TCP.
         store: Settings of the platform's store.
         limits: Limits of the deployment.
+        link_mbps: Bandwidth of the VM's network link in Mbit/s; 0 if it is not known.
         first_start: Whether the whole deployment starts for the first time.
     """
 
@@ -96,6 +97,7 @@
     peer: Address
     store: StoreSettings
     limits: GatewayLimits = field(default_factory=GatewayLimits)
+    link_mbps: float = 0.0
     first_start: bool = False
 
     @property
--- a/knapweeddock/gateway/storecache.py
+++ b/knapweeddock/gateway/storecache.py
@@ -44,6 +44,8 @@
         items: Objects by topic and name.
         positions: Position up to which each topic is known; a topic that was never
             listed has none.
+        changed_at: Position of the last known change of each topic; it may be too late, but
+            not too early.
         unlisted: Topics that have to be listed, for the first time or again.
         listeners: Functions that are called with each applied update, except for a
             partial one without objects and a full one that repeats the objects of a
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.items: dict[Topic, dict[str, StoreObject]] = {topic: {} for topic in Topic}
         self.positions: dict[Topic, StorePosition] = {}
+        self.changed_at: dict[Topic, StorePosition] = {}
         self.unlisted = set(Topic)
         self.listeners: list[Listener] = []
 
@@ -130,6 +133,7 @@
         begins_era = known is None or known.era != update.position.era
         if not begins_era and items == self.items[topic]:
             return
+        self.changed_at[topic] = update.position
         self.items[topic].clear()
         self._store(topic, items)
         self._notify(msgspec.structs.replace(update, items=items))
@@ -143,6 +147,7 @@
         items = _with_latest_config(update, self.items[topic])
         self._store(topic, items)
         if items:
+            self.changed_at[topic] = update.position
             self._notify(msgspec.structs.replace(update, items=items))
 
     def _store(self, topic: Topic, items: Mapping[str, StoreObject | None]) -> None:
@@ -156,6 +161,23 @@
         for listener in self.listeners:
             listener(update)
 
+    def known_positions(self) -> dict[Topic, StorePosition]:
+        """Return the positions of the topics that need not be listed."""
+        return {
+            topic: position for topic, position in self.positions.items() if self.is_listed(topic)
+        }
+
+    def has_changed_since(self, topic: Topic, position: StorePosition | None) -> bool:
+        """Whether a gateway that knows ``topic`` up to ``position`` may lack a change.
+
+        Args:
+            topic: A topic that has been listed.
+            position: Position in any era; None for a gateway that knows nothing.
+        """
+        if position is None or position.era != self.positions[topic].era:
+            return True
+        return position < self.changed_at[topic]
+
     def full_update(self, topic: Topic, *, grace_s: float) -> Update:
         """Return all objects of ``topic`` as a full update."""
         return Update(
--- a/knapweeddock/gateway/updatesource.py
+++ b/knapweeddock/gateway/updatesource.py
@@ -3,29 +3,27 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 
 from knapweeddock.errors import MessageError, PeerUnavailable
-from knapweeddock.gateway.peers import relay_order
-from knapweeddock.gateway.records import Address
-from knapweeddock.gateway.regionfeed import RegionFeed
+from knapweeddock.gateway.records import Address, GatewayEntry
+from knapweeddock.gateway.regionfeed import Pulse, RegionFeed
 from knapweeddock.gateway.relay import RELAY_TIMEOUT_S, RelayServer, subscribe
+from knapweeddock.gateway.relaytree import (
+    MAX_RELAY_DEPTH,
+    MIN_GATEWAYS_FOR_RELAYS,
+    RelayTree,
+    relay_order,
+)
 from knapweeddock.gateway.storecache import StoreCache
 from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
-from knapweeddock.ids import RegionId, VmId
+from knapweeddock.ids import VmId
 
 log = structlog.get_logger(__name__)
 
-RELAYS_PER_REGION = 2
-"""Number of gateways of a region that relay changes to the others. The first one watches the
-store; the second subscribes to the first, and watches the store when the first fails."""
-
-MIN_GATEWAYS_FOR_RELAYS = 3
-"""Size of a region below which each of its gateways watches the store itself."""
-
 STARTUP_WAIT_S = 1.0
 """Time in seconds after the start in which the other gateways of a new deployment register."""
 
@@ -43,27 +41,27 @@
 MAX_SEARCHED_RELAYS = 6
 """Number of registered gateways that a starting gateway tries as relays; some may be down."""
 
+FAILED_RELAY_PAUSE_S = 3.0
+"""Time in seconds for which a relay that has failed is tried last."""
+
+RETURN_INTERVAL_S = 5.0
+"""Time in seconds for which a gateway stays with a relay before it returns to a better one;
+jitter adds up to 50 %."""
+
 STEP_DOWN_CHECK_INTERVAL_S = 3.0
 """Shortest time in seconds for which a gateway watches the store before it looks for a
 relay again; jitter adds up to 30 %."""
 
 
-def choose_relays(region: RegionId, live_gateways: Collection[VmId]) -> list[VmId]:
-    """Return the relays of ``region`` in order of preference.
-
-    Args:
-        region: The region.
-        live_gateways: Live gateways of the region, including this one.
-    """
-    return relay_order(region, live_gateways)[:RELAYS_PER_REGION]
-
-
 class UpdateSource:
     """Keeps the store cache up to date from the store or from a relay, and chooses which.
 
     Attributes:
-        registered_gateways: Returns the registered gateways of the region.
+        own_entry: Registration of this gateway.
+        live_gateways: Returns the live gateways of the region.
+        registered_gateways: Returns the registered gateways of all regions by VM.
         watches_store: Whether this gateway watches the store itself.
+        depth: Number of relays between this gateway and the store.
         watching_since: Monotonic time at which it last began to watch the store.
         last_confirmed_at: Monotonic time of the last pulse of a relay whose own source
             was reachable, or of the construction while there was none.
@@ -72,19 +70,19 @@
     def __init__(
         self,
         *,
-        vm: VmId,
-        region: RegionId,
+        own_entry: GatewayEntry,
         store_cache: StoreCache,
         store_watcher: StoreWatcher,
         relay: RelayServer,
         feed: RegionFeed,
         live_gateways: Callable[[], Collection[VmId]],
-        registered_gateways: Callable[[], Collection[VmId]],
+        registered_gateways: Callable[[], Mapping[VmId, GatewayEntry]],
         address_of: Callable[[VmId], Address | None],
         rng: random.Random,
     ) -> None:
-        self.vm = vm
-        self.region = region
+        self.own_entry = own_entry
+        self.vm = own_entry.vm
+        self.region = own_entry.region
         self.store_cache = store_cache
         self.store_watcher = store_watcher
         self.relay = relay
@@ -94,9 +92,14 @@
         self.address_of = address_of
         self.rng = rng
         self.watches_store = True
+        self.depth = 0
         self.watching_since = float("-inf")
         self.last_confirmed_at = time.monotonic()
         self._is_confirmed = False
+        self._return_at = float("inf")
+        self._max_source_depth = MAX_RELAY_DEPTH
+        self._relay: VmId | None = None
+        self._failed_at: dict[VmId, float] = {}
 
     @property
     def source_reachable(self) -> bool:
@@ -128,20 +131,23 @@
         return time.monotonic() - self.last_confirmed_at
 
     async def run(self) -> None:
-        """Keep the store cache up to date until cancelled.
-
-        The relays are chosen again when a subscription or the watching of the store ends,
-        so a gateway stays with the second relay although the first one has returned.
-        """
+        """Keep the store cache up to date until cancelled."""
         await self._find_relay()
         while True:
-            relays = choose_relays(self.region, self.live_gateways())
-            if self.vm not in relays:
-                self.relay.disconnect_subscribers()
-            self.relay.accepting = self.vm in relays
-            for vm in self._candidate_relays(relays):
-                await self._subscribe_to(vm)
-            await self._watch_store()
+            if not await self._subscribe_to_best():
+                await self._watch_store()
+
+    async def _subscribe_to_best(self) -> bool:
+        """Subscribe to the first relay that accepts and is connected, until it is left.
+
+        Returns:
+            Whether there was one. The relays are then chosen again.
+        """
+        for vm in self._candidates():
+            await self._subscribe_to(vm)
+            if self._is_confirmed:
+                return True
+        return False
 
     async def _find_relay(self) -> None:
         """Subscribe to one of the registered gateways, and return when there is none.
@@ -151,17 +157,16 @@
         are gateways.
         """
         await self._list_gateways()
-        if len(self.registered_gateways()) < MIN_GATEWAYS_FOR_RELAYS:
+        if len(self._registered_in_region()) < MIN_GATEWAYS_FOR_RELAYS:
             # The deployment is new, or the store or the region has no other gateway.
             await asyncio.sleep(STARTUP_WAIT_S * (0.8 + 0.4 * self.rng.random()))
             self.store_cache.invalidate(Topic.GATEWAYS)
             await self._list_gateways()
         deadline = time.monotonic() + RELAY_SEARCH_S
         while time.monotonic() < deadline:
-            known = {*self.registered_gateways(), *self.live_gateways(), self.vm}
-            order = relay_order(self.region, known)
-            candidates = order[: order.index(self.vm)][:MAX_SEARCHED_RELAYS]
-            if not candidates or len(known) < MIN_GATEWAYS_FOR_RELAYS:
+            known = {*self._registered_in_region(), *self.live_gateways()}
+            candidates = self._tree(known).sources(self.vm)[:MAX_SEARCHED_RELAYS]
+            if not candidates:
                 return
             for vm in candidates:
                 await self._subscribe_to(vm)
@@ -180,8 +185,8 @@
     async def _watch_store(self) -> None:
         """Watch the store until this gateway can subscribe to a relay."""
         self.watches_store = True
+        self.depth = 0
         self.watching_since = time.monotonic()
-        self.relay.accepting = True
         log.info("watching the store")
         following = asyncio.create_task(self.store_watcher.run())
         try:
@@ -196,46 +201,97 @@
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
 
-    def _candidate_relays(self, relays: list[VmId]) -> list[VmId]:
-        """Return the relays to which this gateway may subscribe, in order of preference."""
-        if len(self.live_gateways()) < MIN_GATEWAYS_FOR_RELAYS:
-            return []
-        if self.vm in relays:
-            return relays[: relays.index(self.vm)]
-        return relays
+    def _registered_in_region(self) -> list[VmId]:
+        registered = self.registered_gateways()
+        return [vm for vm, entry in registered.items() if entry.region == self.region]
+
+    def _tree(self, gateways: Collection[VmId]) -> RelayTree:
+        """Return the relays of the region if ``gateways`` and this one are alive.
+
+        Gateways that are not registered have no address to which others could connect.
+        """
+        registered = self.registered_gateways()
+        links_mbps = {vm: registered[vm].link_mbps for vm in gateways if vm in registered}
+        links_mbps[self.vm] = self.own_entry.link_mbps
+        return RelayTree(order=relay_order(self.region, links_mbps))
+
+    def _candidates(self) -> list[VmId]:
+        """Return the gateways to which this one may subscribe; those that failed come last."""
+        now = time.monotonic()
+        sources = self._tree(self.live_gateways()).sources(self.vm)
+        failed = [
+            vm
+            for vm in sources
+            if now - self._failed_at.get(vm, float("-inf")) < FAILED_RELAY_PAUSE_S
+        ]
+        return [vm for vm in sources if vm not in failed] + failed
 
     def _can_step_down(self) -> bool:
         """Whether this gateway may leave the store for a relay.
 
         It goes on watching while the store is unreachable or a topic is not listed.
         """
-        candidates = self._candidate_relays(choose_relays(self.region, self.live_gateways()))
         return (
-            bool(candidates) and self.store_watcher.store_reachable and self.store_cache.is_complete
+            bool(self._candidates())
+            and self.store_watcher.store_reachable
+            and self.store_cache.is_complete
         )
 
     async def _subscribe_to(self, vm: VmId) -> None:
-        """Apply the changes from ``vm`` until the subscription fails."""
+        """Apply the changes from ``vm`` until the subscription ends."""
         address = self.address_of(vm)
         if address is None:
             return
         self.watches_store = False
         self._is_confirmed = False
+        self._relay = vm
+        # A relay takes its changes from the root only.
+        is_relay = self._tree(self.live_gateways()).is_relay(self.vm)
+        self._max_source_depth = 0 if is_relay else MAX_RELAY_DEPTH
+        self._return_at = time.monotonic() + RETURN_INTERVAL_S * (1 + 0.5 * self.rng.random())
         log.info("taking changes from a relay", relay=vm)
         try:
             await subscribe(
                 self.store_cache,
                 self.feed,
                 address,
-                on_pulse=self._record_pulse,
+                on_pulse=self._handle_pulse,
                 on_progress=self._record_progress,
             )
+        except _BetterRelay as error:
+            log.info("relay left for a better one", relay=vm, better=error.vm)
         except (PeerUnavailable, MessageError) as error:
+            self._failed_at[vm] = time.monotonic()
             log.info("relay lost", relay=vm, reason=str(error))
 
-    def _record_pulse(self) -> None:
+    def _handle_pulse(self, pulse: Pulse) -> None:
+        """Confirm what is known, unless the relay is of no use.
+
+        Raises:
+            PeerUnavailable: The relay has lost its source, is too far from the store, or a
+                better one has returned.
+        """
+        if not pulse.connected:
+            raise PeerUnavailable("the relay has lost its source")
+        if pulse.depth > self._max_source_depth:
+            raise PeerUnavailable(f"the relay is {pulse.depth} relays away from the store")
+        now = time.monotonic()
+        self.depth = pulse.depth + 1
         self._is_confirmed = True
-        self.last_confirmed_at = time.monotonic()
+        self.last_confirmed_at = now
+        if now >= self._return_at:
+            self._return_to_better_relay(now)
+
+    def _return_to_better_relay(self, now: float) -> None:
+        """Leave the relay if a better one is known, such as one that has restarted.
+
+        Raises:
+            _BetterRelay: There is one.
+        """
+        self._return_at = now + RETURN_INTERVAL_S
+        best = self._candidates()[:1]
+        if best and best != [self._relay]:
+            raise _BetterRelay(best[0])
 
     def _record_progress(self) -> None:
         """Count the parts of a long message as pulses, since the pulses wait behind it.
@@ -245,3 +301,15 @@
         """
         if self._is_confirmed:
             self.last_confirmed_at = time.monotonic()
+
+
+class _BetterRelay(PeerUnavailable):
+    """A gateway leaves its relay for a better one.
+
+    Attributes:
+        vm: The better relay.
+    """
+
+    def __init__(self, vm: VmId) -> None:
+        super().__init__(f"{vm} is a better relay")
+        self.vm = vm
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -80,6 +80,7 @@
         "region": entry.region,
         "front": address_text(entry.front_address),
         "peer": address_text(entry.peer_address),
+        "link_mbps": entry.link_mbps,
     }
 
 
@@ -91,6 +92,8 @@
         region=RegionId(field(spec, "region", str)),
         front_address=address(spec.get("front")),
         peer_address=address(spec.get("peer")),
+        # Gateways of earlier versions do not write it.
+        link_mbps=number(spec, "link_mbps", 0.0),
     )
 
 
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -75,6 +75,7 @@
             history_retention_s=duration(platform, "History", 20.0),
         ),
         limits=_limits(document),
+        link_mbps=number(optional(document, "Limits", dict, {}), "LinkMbps", 0.0),
         first_start=optional(document, "Bootstrap", bool, False),
     )
 
