--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -36,6 +36,7 @@
         fault: What is wrong.
         leaving: Whether all its responses say that it leaves.
         retry_after: ``Retry-After`` of the refusals with ``ServerFault.PAUSE``.
+        limit: Requests per second that all its responses name as its limit, "" for none.
         on_run: Called with the server, the request's identifier and its body when
             a request starts to run.
         on_pause: Called with the server and the request's identifier when it refuses
@@ -43,6 +44,7 @@
         ran: Identifiers of the requests that it ran.
         cut: Identifiers of the requests whose connection closed meanwhile.
         headers: Headers of the requests that arrived.
+        arrived_at: Times of the event loop at which they arrived.
         bodies: Bodies of the requests that it ran.
         probes: Number of health checks.
     """
@@ -56,10 +58,12 @@
     fault: ServerFault = ServerFault.NONE
     leaving: bool = False
     retry_after: str = "1"
+    limit: str = ""
     warmup_ms: int = 0
     ran: list[str] = field(default_factory=list)
     cut: list[str] = field(default_factory=list)
     headers: list[dict[str, str]] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     probes: int = 0
     running: int = 0
@@ -74,6 +78,8 @@
         answer = await self._respond(request)
         if self.leaving:
             answer.headers["Server-Leaving"] = "1"
+        if self.limit:
+            answer.headers["Server-Limit"] = self.limit
         return answer
 
     async def _respond(self, request: web.Request) -> web.StreamResponse:
@@ -83,6 +89,7 @@
             return web.Response(headers=health)
         headers = {name: request.headers[name] for name in request.headers}
         self.headers.append(headers)
+        self.arrived_at.append(asyncio.get_running_loop().time())
         expected = request.headers.get("Expected-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"Instance-Id": self.name})
--- /dev/null
+++ b/tests/platform/test_limiting_servers.py
@@ -0,0 +1,35 @@
+"""Servers that name in their responses how many requests per second they take."""
+
+import pytest
+
+from tests.platform.world import running_world
+
+WINDOW_S = 4.0
+
+
+@pytest.fixture
+def settings_path(tmp_path):
+    return tmp_path / "boot.toml"
+
+
+def most_in_a_window(arrived_at: list[float]) -> int:
+    """Return the largest number of requests that arrived within ``WINDOW_S`` seconds."""
+    return max(
+        (sum(start <= at < start + WINDOW_S for at in arrived_at) for start in arrived_at),
+        default=0,
+    )
+
+
+def allowed_in_a_window(limit_per_s: float) -> float:
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+async def test_server_does_not_get_more_than_the_limit_that_it_has_named(settings_path):
+    # A server in need was sent its usual share of the requests, whatever it named.
+    async with running_world(settings_path, servers=2) as world:
+        for server in world.servers.values():
+            server.limit = "0.5"
+        for index in range(40):
+            await world.ask("/read/a", request_id=f"q{index}", key=str(index))
+        for server in world.servers.values():
+            assert most_in_a_window(server.arrived_at) <= allowed_in_a_window(0.5)
