Keep the limits that servers name, by the mechanism of slow start

Servers in need got three times the requests per second that they had named: the gateways did not read Server-Limit.

The class of fault is a limit on the sum over all gateways that each of them has to keep. There is one mechanism for it now: slow start's quotas become dividedlimit, which serverquotas applies to cold servers and to servers that name a limit. Each gateway of the server's region has a fixed part of the requests per four seconds, or per longer window if four seconds allow no whole request, so that no limit is rounded to nothing. The limit travels with the reports of busy servers, since a gateway of a large deployment hears of a server once in a minute; the latest word counts, and a limit that nobody confirms ends after 30 s. What has no quota goes to other servers, or is refused at once.

--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -116,12 +116,15 @@
     def _record_server_state(self, selection: Selection, result: AttemptResult, now: float) -> None:
         server = selection.server
         metadata = result.metadata
+        server.observe_limit(metadata.limit_per_s, now)
         if metadata.load is not None:
             server.load.record_reported_load(
                 running=metadata.load.running, waiting=metadata.load.waiting, now=now
             )
             requests = metadata.load.running + metadata.load.waiting
             self.report_board.record(server, requests, now)
+        elif metadata.limit_per_s is not None:
+            self.report_board.record(server, round(server.load.total_requests(now)), now)
         if metadata.warmup_left_s:
             server.cold_until = max(server.cold_until, now + metadata.warmup_left_s)
         if metadata.leaving:
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -1,12 +1,13 @@
 """The backend servers that the store lists, and which of them may get requests."""
 
-from collections import deque
 from collections.abc import Iterable, Mapping
 
 import structlog
 
+from knapweeddock.gateway.dividedlimit import SentRequests
 from knapweeddock.gateway.passivehealth import PassiveHealth
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
+from knapweeddock.gateway.serverlimit import ServerLimit
 from knapweeddock.gateway.serverload import ServerLoad
 from knapweeddock.gateway.serverpause import RESUME_S, ServerPause
 from knapweeddock.gateway.storereturn import DepartedServers
@@ -25,21 +26,26 @@
         cold_until: Monotonic time until which the server counts as cold.
         expires_at: Monotonic time at which the server is removed unless it registers
             again; None while it is registered.
-        cold_request_times: Monotonic times of the latest requests sent while it was cold.
+        sent_while_cold: Requests that this gateway has sent to it lately while it was cold.
+        limit: Request rate that it has named as its limit.
+        sent_while_limited: Requests that this gateway has sent to it lately while it named a
+            limit.
         is_leaving: Whether it announced in a response that it leaves; this holds until the
             process ends.
         pause: Time for which it has asked this gateway to send nothing.
     """
 
     __slots__ = (
-        "cold_request_times",
         "cold_until",
         "entry",
         "expires_at",
         "health",
         "is_leaving",
+        "limit",
         "load",
         "pause",
+        "sent_while_cold",
+        "sent_while_limited",
     )
 
     def __init__(self, *, entry: ServerEntry) -> None:
@@ -48,7 +54,9 @@
         self.health = PassiveHealth()
         self.cold_until = 0.0
         self.expires_at: float | None = None
-        self.cold_request_times: deque[float] = deque()
+        self.sent_while_cold = SentRequests()
+        self.limit = ServerLimit()
+        self.sent_while_limited = SentRequests()
         self.is_leaving = False
         self.pause = ServerPause()
 
@@ -63,8 +71,18 @@
         self.pause.begin(pause_s, now)
         self.cold_until = max(self.cold_until, self.pause.until + RESUME_S)
 
+    def observe_limit(self, per_s: float | None, known_at: float) -> None:
+        """Record the limit that a response names, or that it names none.
+
+        Args:
+            per_s: Requests per second from all gateways together; None for no limit.
+            known_at: Monotonic time of the response.
+        """
+        if self.limit.observe(per_s, known_at):
+            log.info("server names a limit", server=self.entry.server, limit_per_s=per_s)
+
     def accepts_requests(self, now: float) -> bool:
-        """Whether requests may be sent, apart from the limit on the rate of a cold server."""
+        """Whether requests may be sent, apart from limits on their rate."""
         return self.health.is_usable() and not self.pause.is_active(now)
 
 
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -95,6 +95,7 @@
         finally:
             connection.abort()
         metadata = self.wire.parse_response(head)
+        state.observe_limit(metadata.limit_per_s, time.monotonic())
         if metadata.server_id not in (None, entry.server):
             return None
         if metadata.leaving:
--- a/knapweeddock/gateway/serverreports.py
+++ b/knapweeddock/gateway/serverreports.py
@@ -3,9 +3,9 @@
 In a large fleet a gateway sends a given server a request once in a minute, so it learns
 nothing of the server's load from its own responses. When several often requested objects
 have the same preferred server, its queue grows while the objects' other servers are idle.
-Each gateway therefore shares what the responses say of servers that have no free slot, and
-of servers that were reported so a moment ago. A report is evidence with an age; for each
-server the latest one counts, so loss, delay and repetition do no harm.
+Each gateway therefore shares what the responses say of servers that have no free slot or
+name a limit, and of servers that were reported so a moment ago. A report is evidence with an
+age; for each server the latest one counts, so loss, delay and repetition do no harm.
 """
 
 from collections.abc import Iterable
@@ -14,11 +14,12 @@
 import msgspec
 
 from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.serverlimit import LIMIT_MEMORY_S
 from knapweeddock.ids import ServerId
 
 BUSY_MEMORY_S = 2.0
 """Time in seconds after the report of a busy server in which it is also reported that the
-server has a free slot again."""
+server has a free slot again. The end of a limit is reported for as long as it would hold."""
 
 MAX_AGE_S = 3.0
 """Age in seconds above which a report is dropped; the load has changed by then."""
@@ -28,22 +29,26 @@
 
 
 class ServerReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Load of a server at some time before.
+    """Load and limit of a server at some time before.
 
     Attributes:
         server: The server.
         requests: Number of requests that it runs or queues.
         age_ms: Time in ms since it reported this.
+        limit_per_s: Requests per second that it takes from all gateways together; None if it
+            named no limit.
     """
 
     server: ServerId
     requests: int
     age_ms: int
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Observation:
     requests: int
+    limit_per_s: float | None
     observed_at: float
 
 
@@ -61,7 +66,7 @@
         self._due_down: dict[ServerId, None] = {}
 
     def record(self, state: ServerState, requests: int, now: float) -> None:
-        """Record the load that a server has reported to this gateway.
+        """Record the load that a server has reported to this gateway, beside its limit.
 
         Args:
             state: The server.
@@ -69,10 +74,14 @@
             now: Monotonic time in seconds.
         """
         server_id = state.entry.server
-        if requests < state.entry.slots and not self._was_busy(state, now):
+        limit_per_s = state.limit.per_s
+        is_exceptional = requests >= state.entry.slots or limit_per_s is not None
+        if not is_exceptional and not self._was_exceptional(state, now):
             self._latest.pop(server_id, None)
             return
-        self._latest[server_id] = _Observation(requests=requests, observed_at=now)
+        self._latest[server_id] = _Observation(
+            requests=requests, limit_per_s=limit_per_s, observed_at=now
+        )
         self._due_up[server_id] = None
         self._due_down[server_id] = None
 
@@ -93,8 +102,9 @@
             if known is not None and known.observed_at >= observed_at:
                 continue
             self._latest[report.server] = _Observation(
-                requests=report.requests, observed_at=observed_at
+                requests=report.requests, limit_per_s=report.limit_per_s, observed_at=observed_at
             )
+            state.observe_limit(report.limit_per_s, observed_at)
             state.load.record_shared_load(report.requests, observed_at=observed_at)
             self._due_down[report.server] = None
             if not from_relay:
@@ -116,13 +126,21 @@
             if latest is None or now - latest.observed_at > MAX_AGE_S:
                 continue
             age_ms = round((now - latest.observed_at) * 1000)
-            reports.append(ServerReport(server=server_id, requests=latest.requests, age_ms=age_ms))
+            reports.append(
+                ServerReport(
+                    server=server_id,
+                    requests=latest.requests,
+                    age_ms=age_ms,
+                    limit_per_s=latest.limit_per_s,
+                )
+            )
         return reports
 
-    def _was_busy(self, state: ServerState, now: float) -> bool:
+    def _was_exceptional(self, state: ServerState, now: float) -> bool:
         latest = self._latest.get(state.entry.server)
-        return (
-            latest is not None
-            and latest.requests >= state.entry.slots
-            and now - latest.observed_at < BUSY_MEMORY_S
-        )
+        if latest is None:
+            return False
+        if latest.limit_per_s is not None:
+            return now - latest.observed_at < LIMIT_MEMORY_S
+        is_busy = latest.requests >= state.entry.slots
+        return is_busy and now - latest.observed_at < BUSY_MEMORY_S
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -12,14 +12,14 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway import slowstart
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.routes import Route
+from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.spillover import CACHED_OBJECTS_PER_SERVER, SpilloverShares
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
@@ -148,8 +148,7 @@
         processing_times: Learned processing times.
         failure_domain: Failure domain of this gateway.
         region: Region of this gateway.
-        slow_start_quota: Returns how many requests per window this gateway may send to a
-            cold server.
+        quotas: What this gateway may send to servers whose request rate is limited.
         shift_limit: Limit on the growth of the share of requests sent to other regions
             than this gateway's.
         shares_by_service: Current region shares by service.
@@ -163,7 +162,7 @@
         processing_times: ProcessingTimes,
         failure_domain: FailureDomainId,
         region: RegionId,
-        slow_start_quota: Callable[[ServerState], int],
+        quotas: ServerQuotas,
         shift_limit: ShiftLimit,
         shares_by_service: Mapping[ServiceId, SpilloverShares],
         rng: random.Random,
@@ -172,7 +171,7 @@
         self.processing_times = processing_times
         self.failure_domain = failure_domain
         self.region = region
-        self.slow_start_quota = slow_start_quota
+        self.quotas = quotas
         self.shift_limit = shift_limit
         self.rng = rng
         self.shares_by_service = shares_by_service
@@ -209,8 +208,7 @@
     def record_sent(self, request: SelectionRequest, selection: Selection, now: float) -> None:
         """Record that ``request`` is sent to the selected server."""
         server = selection.server
-        if server.is_cold(now):
-            slowstart.try_acquire(server.cold_request_times, self.slow_start_quota(server), now)
+        self.quotas.record_sent(server, now)
         if request.key:
             self.processing_times.record_handled(
                 request.service, server.entry.server, request.key, now
@@ -319,11 +317,7 @@
     def _is_eligible(self, server: ServerState, request: SelectionRequest, now: float) -> bool:
         if server.entry.server in request.tried or not server.accepts_requests(now):
             return False
-        if not server.is_cold(now):
-            return True
-        return slowstart.try_acquire(
-            server.cold_request_times, self.slow_start_quota(server), now, dry_run=True
-        )
+        return self.quotas.allow(server, now)
 
     def _estimate(
         self,
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -11,13 +11,13 @@
 
 import structlog
 
-from knapweeddock.gateway import lookups, slowstart
+from knapweeddock.gateway import lookups
 from knapweeddock.gateway.attempt import AttemptRunner
 from knapweeddock.gateway.attempttracker import AttemptTracker
 from knapweeddock.gateway.connectionpool import ConnectionPool
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.demand import SpilloverController
-from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.forward import Forwarder
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
@@ -29,6 +29,7 @@
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
 from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.settings import GatewaySettings
@@ -40,7 +41,7 @@
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.messages import get_header_text
 from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
-from knapweeddock.ids import Incarnation, RegionId, VmId, new_id
+from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId, new_id
 from knapweeddock.metrics import METRICS_PATH
 from knapweeddock.stalls import watch_from_now
 
@@ -198,7 +199,11 @@
             processing_times=self.processing_times,
             failure_domain=self.settings.failure_domain,
             region=self.settings.region,
-            slow_start_quota=self._slow_start_quota,
+            quotas=ServerQuotas(
+                vm=self.settings.vm,
+                gateways_in=self.routing_state.gateways_in,
+                cold_rate_per_s=self._cold_rate_per_s,
+            ),
             shift_limit=ShiftLimit(max_shift=limits.max_region_shift),
             shares_by_service=self.spillover_controller.shares_by_service,
             rng=self.rng,
@@ -233,17 +238,14 @@
             return 1
         return max(1, policy.max_connections // max(1, len(self.routing_state.gateways)))
 
-    def _slow_start_quota(self, server: ServerState) -> int:
-        """Return how many requests this gateway may send to a cold server per window."""
-        entry = server.entry
+    def _cold_rate_per_s(self, service: ServiceId) -> float:
+        """Return the requests per second that a cold server of ``service`` may get."""
         config = self.routing_state.config
-        policy = config.services.get(entry.service) if config is not None else None
+        policy = config.services.get(service) if config is not None else None
         if policy is None:
-            return 0
+            return 0.0
         limits = self.settings.limits
-        total_per_s = policy.warmup_rate * limits.warmup_rate_factor + limits.warmup_extra_per_s
-        gateways = self.routing_state.gateways_in(entry.region)
-        return slowstart.gateway_quota(entry.server, self.settings.vm, gateways, total_per_s)
+        return policy.warmup_rate * limits.warmup_rate_factor + limits.warmup_extra_per_s
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply the limits of reloaded settings; all other changes need a restart."""
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -56,6 +56,8 @@
         leaving: Whether the server announces that it leaves.
         pause_s: Time in seconds for which the server asks this gateway to send nothing;
             None unless it turned the request away and asked for a pause.
+        limit_per_s: Requests per second that the server takes from all gateways together;
+            None if it names no limit.
     """
 
     not_run: bool = False
@@ -66,6 +68,7 @@
     warmup_left_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -10,6 +10,7 @@
 import structlog
 
 from knapweeddock.gateway.records import Address
+from knapweeddock.gateway.serverlimit import MAX_LIMIT_PER_S
 from knapweeddock.gateway.wire import (
     HeaderList,
     LookupQuery,
@@ -42,6 +43,7 @@
 WARMUP_MS = b"warmup-ms"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LIMIT = b"server-limit"
 OBJECT_COOKIE = "Affinity-Key"
 
 MISDIRECTED_STATUS = 421
@@ -49,13 +51,16 @@
 MAX_COUNT_DIGITS = 9
 """Largest number of digits of a count or of a time in milliseconds in a header."""
 
+MAX_DECIMAL_CHARACTERS = 32
+"""Largest length of a decimal number in a header."""
+
 DEFAULT_PAUSE_S = 1.0
 """Pause in seconds after a refusal whose ``Retry-After`` cannot be read."""
 
 SET_ANEW = frozenset({DEADLINE_MS, EXPECTED_SERVER, b"content-length", b"expect"})
 """Request headers that are written for each server."""
 
-KEPT_FROM_CLIENTS = frozenset({b"content-length", LOAD, NOT_RUN, LEAVING})
+KEPT_FROM_CLIENTS = frozenset({b"content-length", LOAD, NOT_RUN, LEAVING, LIMIT})
 """Response headers that concern the gateway only."""
 
 RESOLVE_PATH = "/api/resolve"
@@ -67,6 +72,7 @@
 
     def __init__(self) -> None:
         self._retry_after_fault_logged = False
+        self._limit_fault_logged = False
 
     def parse_request(self, head: RequestHead) -> RequestMetadata:
         """Read a client's request."""
@@ -105,8 +111,20 @@
                 name.lower() == LEAVING and value.strip() == b"1" for name, value in head.headers
             ),
             pause_s=self._pause_s(head),
+            limit_per_s=self._limit_per_s(head),
         )
 
+    def _limit_per_s(self, head: ResponseHead) -> float | None:
+        """Return the requests per second that a server names as its limit, or None."""
+        text = get_header_text(head.headers, LIMIT)
+        if not text:
+            return None
+        limit_per_s = _decimal(text)
+        if limit_per_s is None and not self._limit_fault_logged:
+            self._limit_fault_logged = True
+            log.warning("server's limit cannot be used", value=text[:40])
+        return limit_per_s
+
     def _pause_s(self, head: ResponseHead) -> float | None:
         """Return the pause that a server asks for with a refusal, or None."""
         text = get_header_text(head.headers, RETRY_AFTER)
@@ -167,6 +185,15 @@
     return int(text) / 1000
 
 
+def _decimal(text: str) -> float | None:
+    """Return a decimal number of at least 0, or None if the text is none or is absurd."""
+    try:
+        value = float(text) if len(text) <= MAX_DECIMAL_CHARACTERS else math.nan
+    except ValueError:
+        return None
+    return value if 0 <= value <= MAX_LIMIT_PER_S else None
+
+
 def _retry_after_s(text: str) -> float | None:
     """Return the delay that ``Retry-After`` gives in seconds or as a date, or None."""
     try:
--- a/knapweeddock/requeststory.py
+++ b/knapweeddock/requeststory.py
@@ -38,6 +38,7 @@
         "server removed",
         "server is leaving",
         "server asks for a pause",
+        "server names a limit",
         "server not back",
         "server back",
     }
--- a/tests/gateway/loadsimulation.py
+++ b/tests/gateway/loadsimulation.py
@@ -20,7 +20,7 @@
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import Selection, SelectionRequest, ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
-from tests.gateway.support import REGION, SERVICE, make_feed, make_route, make_server
+from tests.gateway.support import REGION, SERVICE, make_feed, make_quotas, make_route, make_server
 
 LINK_S = 0.002
 QUEUE_LIMIT = 9
@@ -80,7 +80,7 @@
             processing_times=self.processing_times,
             failure_domain="north-a",
             region=REGION,
-            slow_start_quota=lambda _: 1,
+            quotas=make_quotas(),
             shift_limit=ShiftLimit(max_shift=0.15),
             shares_by_service={},
             rng=random.Random(number),
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -2,6 +2,7 @@
 
 import random
 
+from knapweeddock.gateway.dividedlimit import COLD_USED_FRACTION
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.processingtimes import ProcessingTimes
@@ -9,6 +10,7 @@
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
 from knapweeddock.gateway.serverload import PendingRequest
+from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
@@ -98,13 +100,22 @@
     return fleet
 
 
-def make_selector(fleet: Fleet, *, slow_start_quota: int = 1) -> ServerSelector:
+def make_quotas(*, cold_quota: int = 1) -> ServerQuotas:
+    """Return the quotas of the only gateway of each region."""
+    return ServerQuotas(
+        vm="vm",
+        gateways_in=lambda _: ["vm"],
+        cold_rate_per_s=lambda _: (cold_quota + 0.1) / COLD_USED_FRACTION,
+    )
+
+
+def make_selector(fleet: Fleet, *, cold_quota: int = 1) -> ServerSelector:
     return ServerSelector(
         fleet=fleet,
         processing_times=ProcessingTimes(),
         failure_domain="north-a",
         region=REGION,
-        slow_start_quota=lambda _: slow_start_quota,
+        quotas=make_quotas(cold_quota=cold_quota),
         shift_limit=ShiftLimit(max_shift=0.15),
         shares_by_service={},
         rng=random.Random(1),
--- a/tests/gateway/test_serverpause.py
+++ b/tests/gateway/test_serverpause.py
@@ -29,7 +29,7 @@
     # Every server asks for a pause at once. If all that was refused meanwhile were sent at its
     # end, the servers would refuse again.
     fleet = make_fleet(make_server("a"), make_server("b"))
-    selector = make_selector(fleet, slow_start_quota=1)
+    selector = make_selector(fleet, cold_quota=1)
     request = make_selection_request()
     for name in ("a", "b"):
         server_state(fleet, name).begin_pause(2.0, 0.0)
--- a/tests/gateway/test_serverreports.py
+++ b/tests/gateway/test_serverreports.py
@@ -83,3 +83,26 @@
         simulation.run(14.0)
         late[sharing] = 1 - simulation.share_in_time(4.0, 12.0)
     assert late[True] <= late[False] / 2
+
+
+def test_limit_that_a_server_names_is_reported_to_the_others():
+    # A gateway may hear of a server once in a minute, and all of them together keep its limit.
+    board, other = make_board(), make_board()
+    state = server_state(board.fleet, "a")
+    state.observe_limit(2.5, NOW)
+    board.record(state, 0, NOW)
+    other.merge(board.take_up(NOW + 0.1), NOW + 0.2, from_relay=False)
+    assert server_state(other.fleet, "a").limit.active_per_s(NOW + 0.2) == 2.5
+    assert [each.limit_per_s for each in other.take_down(NOW + 0.3)] == [2.5]
+
+
+def test_end_of_a_limit_is_reported_to_the_others():
+    board, other = make_board(), make_board()
+    state = server_state(board.fleet, "a")
+    state.observe_limit(2.5, NOW)
+    board.record(state, 0, NOW)
+    other.merge(board.take_up(NOW + 0.1), NOW + 0.1, from_relay=True)
+    state.observe_limit(None, NOW + 9.0)
+    board.record(state, 0, NOW + 9.0)
+    other.merge(board.take_up(NOW + 9.1), NOW + 9.1, from_relay=True)
+    assert server_state(other.fleet, "a").limit.active_per_s(NOW + 9.2) is None
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/test_serverselection.py
@@ -100,7 +100,7 @@
 
 def test_cold_server_gets_its_part_and_the_rest_goes_on():
     fleet = make_fleet(*servers(2))
-    selector = make_selector(fleet, slow_start_quota=1)
+    selector = make_selector(fleet, cold_quota=1)
     request = make_selection_request()
     first = selector.select(request, 0.0)
     first.server.cold_until = 100.0
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -100,3 +100,21 @@
 def test_ready_check():
     assert WIRE.is_readiness_check(request(target=b"/api/ready"))
     assert not WIRE.is_readiness_check(request(target=b"/api/other"))
+
+
+def limit_of(text: bytes) -> float | None:
+    return WIRE.parse_response(response((b"Server-Limit", text))).limit_per_s
+
+
+def test_limit_that_a_server_names():
+    assert limit_of(b"2.5") == 2.5
+    assert limit_of(b" 3 ") == 3.0
+    assert limit_of(b"0") == 0.0
+    assert WIRE.parse_response(response()).limit_per_s is None
+    forwarded = WIRE.forwarded_response_headers(response((b"Server-Limit", b"2.5")))
+    assert forwarded == []
+
+
+def test_limit_that_is_no_number_counts_as_none():
+    for text in (b"soon", b"-1", b"nan", b"inf", b"1e400", b"9" * 10_000, b"1,5", b""):
+        assert limit_of(text) is None
