Read a large response of the store to its end on a narrow link

A call of the store had 1.2 s for the whole response. A configuration of 2,000 routes is 0.45 MB as JSON; on a link of 5 Mbit/s that clients share it takes longer, and the list or watch would fail and start anew for ever. Each part that arrives now begins the timeout anew, for 30 s in all.

test_large_response_on_a_narrow_link_is_read_to_its_end failed before.

--- a/knapweeddock/platformhttp.py
+++ b/knapweeddock/platformhttp.py
@@ -33,6 +33,9 @@
 MAX_RESPONSE_BYTES = 16 * MAX_VALUE_BYTES
 """Limit on a response body; lists of VMs and of object names are larger than a single value."""
 
+MAX_TRANSFER_S = 30.0
+"""Longest time in seconds that the body of a response may take."""
+
 DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
@@ -113,7 +116,8 @@
         endpoint: Network location of the platform.
         connect_timeout_s: Longest time in seconds to open a connection.
         total_timeout_s: Longest duration of a call in seconds, including the
-            time to open a connection.
+            time to open a connection. In a read, each part of the body that arrives
+            begins it anew: a large body takes long on a narrow link.
         call_count: Number of calls, including rejected ones.
         observe_headers: Called with the headers of each response, whatever its status.
     """
@@ -142,19 +146,22 @@
             target: Path with its leading slash, and the query.
             long_poll_s: Time in seconds for which the platform may delay the
                 response (long polling).
-            total_timeout_s: Longest duration in seconds without that delay; None
-                means the client's ``total_timeout_s``.
+            total_timeout_s: Longest duration in seconds without that delay, and from one
+                part of the body to the next; None means the client's ``total_timeout_s``.
 
         Raises:
             StoreUnavailable: There was no complete response, or its status is 5xx.
             RateLimited: The response has status 429.
         """
-        timeout_s = (total_timeout_s or self.total_timeout_s) + long_poll_s
+        part_timeout_s = total_timeout_s or self.total_timeout_s
         data = self._encode_request(HTTPMethod.GET, target, {}, b"")
         self.call_count += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await self._exchange(self._pop_idle() or await self._connect(), data)
+            async with asyncio.timeout(part_timeout_s + long_poll_s) as timeout:
+                connection = self._pop_idle() or await self._connect()
+                response = await self._exchange(
+                    connection, data, on_part=_extension(timeout, part_timeout_s)
+                )
         except (PeerUnavailable, ResponseError, TimeoutError) as error:
             raise StoreUnavailable(f"GET {target}: {_error_text(error)}") from error
         _raise_if_rate_limited(response)
@@ -212,7 +219,13 @@
         path = (self.endpoint.path + target).encode()
         return encode_request_head(method.encode(), path, header_fields) + body
 
-    async def _exchange(self, connection: HttpClientConnection, data: bytes) -> PlatformResponse:
+    async def _exchange(
+        self,
+        connection: HttpClientConnection,
+        data: bytes,
+        *,
+        on_part: Callable[[], None] = lambda: None,
+    ) -> PlatformResponse:
         body = bytearray()
         try:
             connection.start_exchange(data)
@@ -220,6 +233,7 @@
             self.observe_headers(head.headers)
             while chunk := await connection.read():
                 body += chunk
+                on_part()
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise ResponseError(f"the response body exceeds {MAX_RESPONSE_BYTES} bytes")
         except BaseException:
@@ -243,6 +257,20 @@
         return await connect(address, timeout_s=self.connect_timeout_s, tls=self.endpoint.tls)
 
 
+def _extension(timeout: asyncio.Timeout, part_timeout_s: float) -> Callable[[], None]:
+    """Return a function that lets ``timeout`` begin anew, up to ``MAX_TRANSFER_S`` in all."""
+    loop = asyncio.get_running_loop()
+    last_s: float | None = None
+
+    def extend() -> None:
+        nonlocal last_s
+        now = loop.time()
+        last_s = now + MAX_TRANSFER_S if last_s is None else last_s
+        timeout.reschedule(min(now + part_timeout_s, last_s))
+
+    return extend
+
+
 def _raise_if_rate_limited(response: PlatformResponse) -> None:
     if response.status == HTTPStatus.TOO_MANY_REQUESTS:
         retry_after_s = _parse_retry_after(get_header_text(response.headers, b"retry-after"))
--- a/tests/test_platformhttp.py
+++ b/tests/test_platformhttp.py
@@ -192,3 +192,42 @@
     """The error must name the setting that is wrong; a traceback would not tell an operator."""
     with pytest.raises(ConfigError, match="platform's URL"):
         parse_endpoint(url)
+
+
+@contextlib.asynccontextmanager
+async def run_slow_platform(*, parts: int, sent_parts: int):
+    """Run a server that sends a body of ``parts`` parts one after the other.
+
+    It sends the first ``sent_parts`` of them and then nothing.
+    """
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % parts)
+            for _ in range(sent_parts):
+                writer.write(b"x")
+                await asyncio.sleep(0.05)
+            await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        http = PlatformHttpClient(endpoint=Endpoint(host=host, port=port), total_timeout_s=1.0)
+        try:
+            yield http
+        finally:
+            await http.close()
+
+
+async def test_large_response_on_a_narrow_link_is_read_to_its_end():
+    """A configuration of thousands of routes takes longer than a store may be silent."""
+    async with run_slow_platform(parts=30, sent_parts=30) as http:
+        assert len((await http.read("/a")).body) == 30
+
+
+async def test_response_that_stops_in_the_middle_fails():
+    async with run_slow_platform(parts=30, sent_parts=3) as http:
+        with pytest.raises(StoreUnavailable):
+            await http.read("/a")
