Let the soak's servers name limits, and check that the gateways keep them

A third generation of faults adds servers that name a limit in their responses; seeds recorded before draw as they did. The check counts the requests of gateways that were told, from the time on that the platform allows, in any four seconds.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -110,6 +110,14 @@
     for_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitServer:
+    """A server names a limit on its request rate in its responses."""
+
+    server: int
+    for_s: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CrashServer:
     """A server ends without a word and starts again, under its name or a new one."""
@@ -170,13 +178,14 @@
     | EvacuateDomain
     | ReturnStore
     | LeaveServer
+    | LimitServer
 )
 
-LATEST_GENERATION = 2
+LATEST_GENERATION = 3
 """Generation of the kinds of faults. A seed that was recorded before kinds were added
 draws from those of its own generation, so that it stays the same run."""
 
-ADDED_KINDS = {2: (ReturnStore, LeaveServer, ServerFault.PAUSE)}
+ADDED_KINDS = {2: (ReturnStore, LeaveServer, ServerFault.PAUSE), 3: (LimitServer,)}
 """Kinds of faults that a generation added, at the end of the list of kinds."""
 
 
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -7,12 +7,16 @@
 from soak.faults import Fault
 from soak.links import Link, LinkFault
 from soak.observations import Observations
+from soak.promises import SETTLED_S
 from standins.metastore import StoreFault
 from standins.platformserver import ServerFault
 
 STORE_ABSENCE_S = 0.5
 """Time in seconds for which the store is away before it comes back from a copy."""
 
+LIMIT_PER_S = 1.5
+"""Requests per second that a server in need takes from all gateways together."""
+
 REWRITE_S = 1.0
 """Time in seconds after which servers and operator have written their objects again."""
 
@@ -32,6 +36,7 @@
             faults.CrashServer()
             | faults.DrainServer()
             | faults.LeaveServer()
+            | faults.LimitServer()
             | faults.MisbehaveServer()
         ):
             await _apply_to_server(deployment, deployment.servers[fault.server], fault)
@@ -85,6 +90,8 @@
             await _drain(deployment, host, fault.for_s)
         case faults.LeaveServer():
             await _leave_by_response(deployment, host, fault.for_s)
+        case faults.LimitServer():
+            await _limit(deployment.seen, host, fault.for_s)
         case faults.MisbehaveServer():
             await _misbehave(deployment.seen, host, fault)
 
@@ -147,6 +154,16 @@
             deployment.publish_server(host)
 
 
+async def _limit(seen: Observations, host: ServerHost, for_s: float) -> None:
+    """Name a limit for ``for_s`` seconds after the gateways must keep it."""
+    async with host.lock:
+        server = host.server
+        with seen.disturbed(server.name), seen.limited(server.name, host.starts, LIMIT_PER_S):
+            server.limit = str(LIMIT_PER_S)
+            await asyncio.sleep(SETTLED_S + for_s)
+            server.limit = ""
+
+
 async def _drain(deployment: Deployment, host: ServerHost, for_s: float) -> None:
     async with host.lock:
         deployment.publish_server(host, state="draining")
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -98,6 +98,30 @@
     for_s: float
 
 
+@dataclass(kw_only=True, slots=True)
+class NamedLimit:
+    """Time for which a server named a limit in all its responses.
+
+    Attributes:
+        server: Name of the server.
+        start: Number of the server's start.
+        per_s: Requests per second that it takes from all gateways together.
+        began_at: Monotonic time of its begin, in seconds.
+        ended_at: Monotonic time of its end.
+    """
+
+    server: str
+    start: int
+    per_s: float
+    began_at: float
+    ended_at: float = math.inf
+
+    def covers(self, execution: Execution) -> bool:
+        """Whether ``execution`` ran on the server while it named the limit."""
+        is_its = (execution.server, execution.start) == (self.server, self.start)
+        return is_its and self.began_at <= execution.at <= self.ended_at
+
+
 @dataclass(kw_only=True, slots=True)
 class Disturbance:
     """Time within which something was wrong with a part of the deployment."""
@@ -150,6 +174,7 @@
         calls: Finished calls.
         executions: Runs on servers.
         pauses: Refusals that asked for a pause.
+        limits: Limits that servers named.
         sends: Number of requests that reached a server, refused ones included.
         disturbances: What was wrong, and when.
         leaves: Servers and failure domains that were leaving.
@@ -162,6 +187,7 @@
     calls: list[Call] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
     sends: int = 0
     disturbances: list[Disturbance] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
@@ -170,6 +196,16 @@
     stalls: int = 0
     process_faults: list[str] = field(default_factory=list)
 
+    @contextlib.contextmanager
+    def limited(self, server: str, start: int, per_s: float) -> Iterator[None]:
+        """Note that ``server`` names a limit within the block."""
+        limit = NamedLimit(server=server, start=start, per_s=per_s, began_at=time.monotonic())
+        self.limits.append(limit)
+        try:
+            yield
+        finally:
+            limit.ended_at = time.monotonic()
+
     @contextlib.contextmanager
     def disturbed(self, subject: str, cause: Cause = Cause.FAULT) -> Iterator[None]:
         """Note that ``subject`` is disturbed within the block."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from soak.observations import SOAK, Call, Cause, Observations, Outcome
+from soak.observations import SOAK, Call, Cause, NamedLimit, Observations, Outcome
 
 NOT_RUN_STATUSES = frozenset(
     {
@@ -35,6 +35,15 @@
 PAUSE_ARRIVALS = 2
 """Requests that may arrive from one gateway in the rest of the pause."""
 
+TOLD_SLACK_S = 0.5
+"""Time in seconds after the response with a limit from which a gateway must keep it."""
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+"""Bound on the requests to a server that names a limit, in any ``LIMIT_WINDOW_S`` seconds: so
+many times its limit, and some more."""
+
 GRACE_S = 2.0
 """Time in seconds that the settings give to a planned stop."""
 
@@ -200,6 +209,37 @@
             yield f"{pause.server} got {len(late)} requests from {call.gateway} in its pause"
 
 
+def limits_that_servers_name_are_kept(seen: Observations) -> Iterator[str]:
+    """A server gets little more than its limit from all gateways that it has told.
+
+    A gateway may have forgotten the limit after a restart or a pause.
+    """
+    for limit in seen.limits:
+        arrived_at = list(_arrivals_of_told_gateways(seen, limit))
+        most = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for begin in arrived_at:
+            count = sum(begin <= at < begin + LIMIT_WINDOW_S for at in arrived_at)
+            if count > most:
+                yield f"{limit.server} got {count} requests at a limit of {limit.per_s}"
+                break
+
+
+def _arrivals_of_told_gateways(seen: Observations, limit: NamedLimit) -> Iterator[float]:
+    calls = {call.request_id: call for call in seen.calls}
+    told_at: dict[str, float] = {}
+    for execution in sorted(seen.executions, key=lambda execution: execution.at):
+        call = calls.get(execution.request_id)
+        if call is None or not limit.covers(execution):
+            continue
+        told = told_at.get(call.gateway)
+        if call.status in SERVER_STATUSES:
+            told_at[call.gateway] = min(call.ended_at, told or call.ended_at)
+        if told is None or execution.at < max(told + TOLD_SLACK_S, limit.began_at + SETTLED_S):
+            continue
+        if not seen.disturbance_of({call.gateway, SOAK}, limit.began_at, execution.at):
+            yield execution.at
+
+
 def retries_stay_within_their_budget(seen: Observations) -> Iterator[str]:
     """Repeated sends of all gateways together are bounded."""
     if not seen.calls:
@@ -255,6 +295,7 @@
     leaving_servers_get_no_requests,
     servers_that_announced_to_leave_get_no_requests,
     pauses_are_respected,
+    limits_that_servers_name_are_kept,
     retries_stay_within_their_budget,
     calm_deployments_serve_everything,
     planned_stops_end_in_time,
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -10,6 +10,7 @@
     Disturbance,
     Execution,
     Leave,
+    NamedLimit,
     Observations,
     Outcome,
     PauseRequest,
@@ -174,3 +175,20 @@
     assert names(seen(calls, pauses=pauses[:3])) == []
     others = [*calls[:3], call("d", status=503, gateway="front-1")]
     assert names(seen(others, pauses=pauses)) == []
+
+
+def test_requests_beyond_a_limit_are_found():
+    limit = NamedLimit(server="i-0", start=1, per_s=1.0, began_at=START, ended_at=START + 20)
+    times = [START, *(START + 10 + 0.1 * index for index in range(12))]
+    calls = [
+        call(f"q{index}", sent_at=at, ended_at=at + 0.05, idempotent=True)
+        for index, at in enumerate(times)
+    ]
+    runs = [run(f"q{index}", at=at) for index, at in enumerate(times)]
+    broken = ["limits_that_servers_name_are_kept"]
+    assert names(seen(calls, runs, limits=[limit])) == broken
+    assert names(seen(calls[:-1], runs[:-1], limits=[limit])) == []
+    restarted = disturbance(start=START + 2, end=START + 3)
+    assert names(seen(calls, runs, [restarted], limits=[limit])) == []
+    not_told = [calls[0], call("q1", sent_at=START + 10, gateway="front-1"), *calls[2:]]
+    assert names(seen(not_told, runs, limits=[limit])) == []
