--- a/knapweeddock/gateway/updatesource.py
+++ b/knapweeddock/gateway/updatesource.py
@@ -239,11 +239,11 @@
 
     async def _subscribe_to(self, vm: VmId) -> None:
         """Apply the changes from ``vm`` until the subscription ends."""
+        self._is_confirmed = False
         address = self.address_of(vm)
         if address is None:
             return
         self.watches_store = False
-        self._is_confirmed = False
         self._relay = vm
         # A relay takes its changes from the root only.
         is_relay = self._tree(self.live_gateways()).is_relay(self.vm)
--- a/tests/gateway/test_relaytree.py
+++ b/tests/gateway/test_relaytree.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from knapweeddock.gateway.configpatch import make_patch
-from knapweeddock.gateway.relay import ConfigUpdate, encode
+from knapweeddock.gateway.relaymessages import ConfigUpdate, encode
 from knapweeddock.gateway.relaytree import RELAY_FAN_OUT, RelayTree, relay_order
 from tests.gateway.support import at
 from tests.gateway.test_large_configurations import (
--- a/tests/gateway/test_updatesource.py
+++ b/tests/gateway/test_updatesource.py
@@ -272,6 +272,7 @@
         await until(lambda: region.watching_vms() == relays_of(LARGE_REGION)[:1])
         region.set_version(2)
         await until(lambda: all_at_version(region, 2))
+        assert all_in_place(region)
 
 
 async def test_relay_that_has_begun_to_watch_does_not_confirm_its_cache(monkeypatch):
