--- a/knapweeddock/platform/values.py
+++ b/knapweeddock/platform/values.py
@@ -1,5 +1,6 @@
 """Values as the platform writes them: durations, addresses, versions, tables."""
 
+import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -42,11 +43,12 @@
 
 
 def number(document: Mapping[str, Any], name: str, default: float) -> float:
-    """Return a number that is not negative, or ``default`` when it is missing."""
+    """Return a finite number of at least 0, or ``default`` when it is missing."""
     value = document.get(name)
     if value is None:
         return default
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or value < 0:
         raise DocumentError(f"{name} is {value!r}, not a number")
     return float(value)
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -106,5 +106,19 @@
 
 
 def test_gateway_survives_encoding():
-    entry = make_gateway("front-1")
+    entry = make_gateway("front-1", link_mbps=200.0)
     assert decode(Topic.GATEWAYS, "front-1", encode_gateway(entry), ZONES) == entry
+
+
+def test_gateway_of_an_earlier_version_is_known_without_its_bandwidth():
+    content = encode_gateway(make_gateway("front-1", link_mbps=200.0))
+    del content["link_mbps"]
+    assert decode(Topic.GATEWAYS, "front-1", content, ZONES) == make_gateway("front-1")
+
+
+@pytest.mark.parametrize("bandwidth", ["200", -1, True, float("nan"), float("inf")])
+def test_gateway_with_an_absurd_bandwidth_is_refused(bandwidth):
+    # A bandwidth that cannot be compared would leave the gateways without a common order.
+    content = {**encode_gateway(make_gateway("front-1")), "link_mbps": bandwidth}
+    with pytest.raises(DocumentError):
+        decode(Topic.GATEWAYS, "front-1", content, ZONES)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -14,6 +14,7 @@
     assert settings.front == ("127.0.0.1", 8161)
     assert settings.peer == ("127.0.0.1", 7720)
     assert settings.store.address == ("10.200.1.7", 8169)
+    assert settings.link_mbps == 1000.0
     assert settings.limits.shutdown_timeout_s == 6.0
     assert settings.limits.retry_allowance == 62
     assert settings.limits.max_region_shift == 0.15
