--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/relay.py
@@ -285,8 +285,7 @@
 ) -> None:
     """Apply the changes and the feed from the relay at ``address``, and report to it.
 
-    The cache keeps its content until the relay has sent its own. Never returns
-    normally; the subscription ends with an error.
+    The cache keeps its content until the relay has sent its own. Always ends with an error.
 
     Args:
         store_cache: Local copy of the store's objects.
