--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -9,16 +9,22 @@
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
+from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.serverload import PendingRequest
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.storecache import Update
+from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storeposition import StorePosition
 
 SERVICE = "ledger"
 REGION = "north"
 
+COLD_RATE_PER_S = 10.25
+"""Requests per second that a cold server may get from all gateways together."""
+
 
 def at(revision: int, *, era: int = 1) -> StorePosition:
     return StorePosition(era=era, revision=revision)
@@ -134,3 +140,51 @@
 def add_pending_requests(state: ServerState, count: int) -> None:
     """Add pending requests of this gateway, sent at time 0, to a server."""
     state.load.pending += [PendingRequest(sent_at=0.0, expected_s=1.0) for _ in range(count)]
+
+
+class LimitedGateway:
+    """What one gateway of a region may send to servers whose rate is limited.
+
+    Attributes:
+        vm: Its VM.
+        now: Its monotonic time in seconds.
+        state: What it knows from the store.
+        quotas: Its quotas.
+    """
+
+    def __init__(
+        self, vm: str, registered: list[str], *entries: ServerEntry, now: float = 0.0
+    ) -> None:
+        self.vm = vm
+        self.now = now
+        self.state = RoutingState(fleet=Fleet(), clock=lambda: self.now)
+        self.state.fleet.warmup_s = {SERVICE: 3.0}
+        self.state.fleet.replace_all(entries, self.now, grace_s=0.0)
+        self.quotas = ServerQuotas(
+            vm=vm,
+            gateways_in=self.state.gateways_in,
+            cold_rate_per_s=lambda _: COLD_RATE_PER_S,
+        )
+        self.list_gateways(registered, revision=1)
+
+    def list_gateways(self, registered: list[str], *, revision: int) -> None:
+        """Apply a full list of the registered gateways."""
+        items = {vm: make_gateway(vm) for vm in registered}
+        self.state.apply(
+            Update(topic=Topic.GATEWAYS, whole=True, items=items, position=at(revision))
+        )
+
+    def advance(self, now: float) -> None:
+        """Let the time pass, as the gateway's maintenance does."""
+        self.now = now
+        self.state.maintain()
+
+    def send(self, server: str) -> bool:
+        """Send a request to ``server`` if the quotas allow it, and return whether they do."""
+        state = self.state.fleet.servers.get(server)
+        if state is None or not state.accepts_requests(self.now):
+            return False
+        if not self.quotas.allow(state, self.now):
+            return False
+        self.quotas.record_sent(state, self.now)
+        return True
