--- a/knapweeddock/gateway/routingstate.py
+++ b/knapweeddock/gateway/routingstate.py
@@ -16,7 +16,7 @@
     find_outdated_servers,
 )
 from knapweeddock.http1.server import ClientLimits
-from knapweeddock.ids import Era, RegionId, VmId
+from knapweeddock.ids import Era, VmId
 
 log = structlog.get_logger(__name__)
 
@@ -66,10 +66,6 @@
         """Return the limits on clients' requests and connections."""
         return self.config.limits if self.config is not None else ClientLimits()
 
-    def gateways_in(self, region: RegionId) -> list[VmId]:
-        """Return the gateways that are registered in ``region``."""
-        return [vm for vm, entry in self.gateways.items() if entry.region == region]
-
     def apply(self, update: Update) -> None:
         """Apply changed objects of one topic."""
         if update.whole:
--- a/knapweeddock/gateway/serverquotas.py
+++ b/knapweeddock/gateway/serverquotas.py
@@ -1,6 +1,6 @@
 """What this gateway may send to servers whose request rate is limited."""
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Iterator
 
 from knapweeddock.gateway.dividedlimit import (
     DividedLimit,
@@ -10,7 +10,8 @@
     named_limit,
 )
 from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.ids import RegionId, ServiceId, VmId
+from knapweeddock.gateway.quotamembers import QuotaMembers
+from knapweeddock.ids import ServerId, ServiceId, VmId
 
 
 class ServerQuotas:
@@ -18,8 +19,8 @@
 
     Attributes:
         vm: VM of this gateway.
-        gateways_in: Returns the registered gateways of a region. Only those of its own
-            region send requests to a server whose rate is limited.
+        members: Gateways among which the limits are divided. Only those of its own region
+            send requests to a server whose rate is limited.
         cold_rate_per_s: Returns the requests per second that a cold server of a service can
             handle; 0 if the service is not configured.
     """
@@ -28,17 +29,20 @@
         self,
         *,
         vm: VmId,
-        gateways_in: Callable[[RegionId], Collection[VmId]],
+        members: QuotaMembers,
         cold_rate_per_s: Callable[[ServiceId], float],
     ) -> None:
         self.vm = vm
-        self.gateways_in = gateways_in
+        self.members = members
         self.cold_rate_per_s = cold_rate_per_s
+        self._quotas: dict[tuple[ServerId, int], int] = {}
+        self._quotas_revision = -1
 
     def allow(self, server: ServerState, now: float) -> bool:
         """Whether a request may be sent to ``server`` now."""
         return all(
-            sent.allows(self._quota(limit, server), limit.window_s, now)
+            self.members.has_part(now)
+            and sent.allows(self._quota(limit, server), limit.window_s, now)
             for limit, sent in self._limits(server, now)
         )
 
@@ -57,5 +61,14 @@
             yield named_limit(per_s), server.sent_while_limited
 
     def _quota(self, limit: DividedLimit, server: ServerState) -> int:
-        gateways = self.gateways_in(server.entry.region)
-        return gateway_quota(limit, server.entry.server, self.vm, gateways)
+        """Return this gateway's part of ``limit``, which is the same until the members change."""
+        if self._quotas_revision != self.members.revision:
+            self._quotas_revision = self.members.revision
+            self._quotas.clear()
+        key = (server.entry.server, limit.requests)
+        quota = self._quotas.get(key)
+        if quota is None:
+            gateways = self.members.in_region(server.entry.region)
+            quota = gateway_quota(limit, server.entry.server, self.vm, gateways)
+            self._quotas[key] = quota
+        return quota
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -24,6 +24,7 @@
 from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
+from knapweeddock.gateway.quotamembers import QuotaMembers
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
@@ -34,8 +35,8 @@
 from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import StoreClient
+from knapweeddock.gateway.storecache import StoreCache, Update
+from knapweeddock.gateway.storeclient import StoreClient, Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
 from knapweeddock.gateway.updatesource import UpdateSource
 from knapweeddock.gateway.wire import WireFormat
@@ -163,6 +164,8 @@
             rng=self.rng,
         )
         self.store_cache.listeners.append(self.registrations.handle_update)
+        self.quota_members = QuotaMembers(vm=self.settings.vm)
+        self.store_cache.listeners.append(self._handle_update)
         self.spillover_controller = SpilloverController(
             region=self.settings.region,
             fleet=self.routing_state.fleet,
@@ -191,7 +194,7 @@
             spillover_controller=self.spillover_controller,
             fleet=self.routing_state.fleet,
             report_board=self.report_board,
-            gateway_count=lambda: max(1, len(self.routing_state.gateways)),
+            gateway_count=self.quota_members.count,
             now=time.monotonic,
         )
         server_selector = ServerSelector(
@@ -201,7 +204,7 @@
             region=self.settings.region,
             quotas=ServerQuotas(
                 vm=self.settings.vm,
-                gateways_in=self.routing_state.gateways_in,
+                members=self.quota_members,
                 cold_rate_per_s=self._cold_rate_per_s,
             ),
             shift_limit=ShiftLimit(max_shift=limits.max_region_shift),
@@ -236,7 +239,14 @@
         policy = config.services.get(entry.service) if config is not None else None
         if policy is None:
             return 1
-        return max(1, policy.max_connections // max(1, len(self.routing_state.gateways)))
+        return max(1, policy.max_connections // self.quota_members.count())
+
+    def _handle_update(self, update: Update) -> None:
+        if update.topic is Topic.GATEWAYS:
+            self._update_quota_members(time.monotonic())
+
+    def _update_quota_members(self, now: float) -> None:
+        self.quota_members.update(self.routing_state.gateways, self.feed.live_members(now), now)
 
     def _cold_rate_per_s(self, service: ServiceId) -> float:
         """Return the requests per second that a cold server of ``service`` may get."""
@@ -318,6 +328,7 @@
             fleet = self.routing_state.fleet
             self.routing_state.maintain()
             self.feed.liveness.drop_silent(now)
+            self._update_quota_members(now)
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -6,6 +6,7 @@
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.processingtimes import ProcessingTimes
+from knapweeddock.gateway.quotamembers import QuotaMembers
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
@@ -14,6 +15,7 @@
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
+from knapweeddock.gateway.service import MAINTENANCE_INTERVAL_S
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.storecache import Update
 from knapweeddock.gateway.storeclient import Topic
@@ -106,11 +108,26 @@
     return fleet
 
 
+def make_quota_members(
+    vm: str, *others_by_region: list[str], since: float = -100.0
+) -> QuotaMembers:
+    """Return members as the gateway ``vm`` knows them, of which the first region is ``REGION``."""
+    members = QuotaMembers(vm=vm)
+    regions = [REGION, "south"]
+    registered = {
+        other: make_gateway(other, region=region)
+        for region, others in zip(regions, others_by_region, strict=False)
+        for other in others
+    }
+    members.update(registered, [], since)
+    return members
+
+
 def make_quotas(*, cold_quota: int = 1) -> ServerQuotas:
-    """Return the quotas of the only gateway of each region."""
+    """Return the quotas of the only gateway of the region."""
     return ServerQuotas(
         vm="vm",
-        gateways_in=lambda _: ["vm"],
+        members=make_quota_members("vm", ["vm"]),
         cold_rate_per_s=lambda _: (cold_quota + 0.1) / COLD_USED_FRACTION,
     )
 
@@ -149,6 +166,7 @@
         vm: Its VM.
         now: Its monotonic time in seconds.
         state: What it knows from the store.
+        members: The gateways among which it divides limits.
         quotas: Its quotas.
     """
 
@@ -160,9 +178,11 @@
         self.state = RoutingState(fleet=Fleet(), clock=lambda: self.now)
         self.state.fleet.warmup_s = {SERVICE: 3.0}
         self.state.fleet.replace_all(entries, self.now, grace_s=0.0)
+        self.members = QuotaMembers(vm=vm)
+        self._next_update_at = now
         self.quotas = ServerQuotas(
             vm=vm,
-            gateways_in=self.state.gateways_in,
+            members=self.members,
             cold_rate_per_s=lambda _: COLD_RATE_PER_S,
         )
         self.list_gateways(registered, revision=1)
@@ -173,11 +193,15 @@
         self.state.apply(
             Update(topic=Topic.GATEWAYS, whole=True, items=items, position=at(revision))
         )
+        self.members.update(self.state.gateways, [], self.now)
 
     def advance(self, now: float) -> None:
         """Let the time pass, as the gateway's maintenance does."""
         self.now = now
         self.state.maintain()
+        if now >= self._next_update_at:
+            self._next_update_at = now + MAINTENANCE_INTERVAL_S
+            self.members.update(self.state.gateways, [], now)
 
     def send(self, server: str) -> bool:
         """Send a request to ``server`` if the quotas allow it, and return whether they do."""
--- a/tests/gateway/test_cold_server_sums.py
+++ b/tests/gateway/test_cold_server_sums.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
 from tests.gateway.support import COLD_RATE_PER_S, LimitedGateway, make_server
 
 STEP_S = 0.02
@@ -125,3 +126,16 @@
         gateway.state.fleet.servers["s"].cold_until = 100.0
     sent_at += send_all_that_is_allowed(gateways, until=SETTLED_S + 0.9)
     assert most_in_a_second(sent_at) <= COLD_RATE_PER_S
+
+
+@pytest.mark.parametrize("size", [3, 4, 6, 64, 195])
+def test_fixed_part_of_the_retry_budget_under_different_lists(size):
+    gateways = make_region(size)
+    for gateway in gateways[: size // 2]:
+        gateway.list_gateways([gateway.vm], revision=2)
+    limits = RetryBudgetLimits(ratio=0.2, allowance=62.0, window_s=10.0)
+    retries = sum(
+        RetryBudgetShare(limits=limits).remaining(gateway.members.count(), gateway.now)
+        for gateway in gateways
+    )
+    assert retries <= limits.allowance
--- a/tests/gateway/test_serverquotas.py
+++ b/tests/gateway/test_serverquotas.py
@@ -1,5 +1,11 @@
 from knapweeddock.gateway.serverquotas import ServerQuotas
-from tests.gateway.support import REGION, make_fleet, make_quotas, make_server, server_state
+from tests.gateway.support import (
+    make_fleet,
+    make_quota_members,
+    make_quotas,
+    make_server,
+    server_state,
+)
 
 NOW = 100.0
 
@@ -30,10 +36,8 @@
     # The gateways of its region have the whole limit among them.
     server = server_state(make_fleet(make_server("a")), "a")
     server.observe_limit(50.0, NOW - 1)
-    members = {REGION: ["near"], "south": ["far"]}
-    quotas = ServerQuotas(
-        vm="far", gateways_in=lambda region: members[region], cold_rate_per_s=lambda _: 9.0
-    )
+    members = make_quota_members("far", ["near"], ["far"])
+    quotas = ServerQuotas(vm="far", members=members, cold_rate_per_s=lambda _: 9.0)
     assert count_sent(quotas, server, seconds=1.0) == 0
 
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -234,7 +234,7 @@
 
 async def test_server_that_comes_back_cold_is_loaded_within_its_bound(settings_path):
     async with running_world(settings_path, servers=1) as world:
-        await until(lambda: world.gateway.routing_state.gateways)
+        await world.settle()
         state = world.gateway.routing_state.fleet.servers["i-0"]
         state.health.record_unreachable(0.0)
         world.servers["i-0"].warmup_ms = 5000
--- a/tests/platform/test_leaving_and_pausing_servers.py
+++ b/tests/platform/test_leaving_and_pausing_servers.py
@@ -49,6 +49,7 @@
 
 async def test_process_that_starts_later_under_the_identifier_is_used(settings_path):
     async with running_world(settings_path, servers=1) as world:
+        await world.settle()
         server = world.servers["i-0"]
         server.leaving = True
         await world.ask("/read/a", request_id="announces")
--- a/tests/platform/test_limiting_servers.py
+++ b/tests/platform/test_limiting_servers.py
@@ -27,6 +27,7 @@
 async def test_server_does_not_get_more_than_the_limit_that_it_has_named(settings_path):
     # A server in need was sent its usual share of the requests, whatever it named.
     async with running_world(settings_path, servers=2) as world:
+        await world.settle()
         for server in world.servers.values():
             server.limit = "0.5"
         for index in range(40):
@@ -37,6 +38,7 @@
 
 async def test_requests_beyond_the_limit_go_to_the_other_server(settings_path):
     async with running_world(settings_path, servers=2) as world:
+        await world.settle()
         world.servers["i-0"].limit = "0.5"
         replies = [
             await world.ask("/read/a", request_id=f"q{index}", key=str(index))
@@ -49,6 +51,7 @@
 
 async def test_limit_ends_when_the_server_no_longer_names_it(settings_path):
     async with running_world(settings_path, servers=1) as world:
+        await world.settle()
         server = world.servers["i-0"]
         server.limit = "1"
         assert (await world.ask("/read/a", request_id="told")).status == 200
@@ -60,6 +63,7 @@
 
 async def test_requests_that_no_server_may_get_are_refused_at_once(settings_path):
     async with running_world(settings_path, servers=1) as world:
+        await world.settle()
         world.servers["i-0"].limit = "0.25"
         assert (await world.ask("/book/a", method="POST", request_id="q0")).status == 200
         assert (await world.ask("/book/a", method="POST", request_id="q1")).status == 200
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import socket
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -72,6 +73,10 @@
         finally:
             writer.close()
 
+    async def settle(self) -> None:
+        """Wait until the gateway may use its part of limits, some seconds after its start."""
+        await until(lambda: self.gateway.quota_members.has_part(time.monotonic()))
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection to the gateway's front port."""
         return await asyncio.open_connection(*self.gateway.settings.front)
