--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from knapweeddock.errors import IncompleteRequest, MalformedResponse, PeerUnavailable, ResponseError
 from knapweeddock.gateway.connectionpool import ConnectionPool
+from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.gateway.serverselection import Selection
 from knapweeddock.gateway.wire import RequestMetadata, ResponseMetadata, WireFormat
@@ -106,9 +107,21 @@
         self.pool = pool
 
     async def run(
-        self, outgoing: OutgoingRequest, selection: Selection, *, remaining_s: float
+        self,
+        outgoing: OutgoingRequest,
+        selection: Selection,
+        sent: SentRequest,
+        *,
+        remaining_s: float,
     ) -> AttemptResult:
-        """Send ``outgoing`` to the chosen server and wait for its response."""
+        """Send ``outgoing`` to the chosen server and wait for its response.
+
+        Args:
+            outgoing: The request.
+            selection: The chosen server.
+            sent: What counts against the server's limits.
+            remaining_s: Time in seconds until the request times out.
+        """
         entry = selection.server.entry
         now = time.monotonic()
         with selection.server.load.track_pending(now=now, expected_s=selection.expected_s):
@@ -116,6 +129,7 @@
                 connection = await self.pool.acquire(entry, idempotent=outgoing.idempotent)
             except PeerUnavailable as error:
                 return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
+            sent.sent_at = time.monotonic()
             try:
                 result = await self._exchange(outgoing, selection, connection, remaining_s)
             except PeerUnavailable as error:
--- a/knapweeddock/gateway/dividedlimit.py
+++ b/knapweeddock/gateway/dividedlimit.py
@@ -79,24 +79,37 @@
     return quotient + (better < remainder)
 
 
+@dataclass(eq=False, kw_only=True, slots=True)
+class SentRequest:
+    """A request that this gateway sends to a server.
+
+    Attributes:
+        sent_at: Monotonic time at which it was sent, or at which the server was chosen
+            while there is no connection yet.
+    """
+
+    sent_at: float
+
+
 class SentRequests:
-    """Requests that this gateway has sent to a server while its rate was limited.
+    """Requests that this gateway has sent to a server lately.
 
     Attributes:
-        sent_at: Monotonic times of those that still count.
+        requests: Those that may still count.
     """
 
-    __slots__ = ("sent_at",)
+    __slots__ = ("requests",)
 
     def __init__(self) -> None:
-        self.sent_at: deque[float] = deque()
+        self.requests: deque[SentRequest] = deque()
 
     def allows(self, quota: int, window_s: float, now: float) -> bool:
         """Whether one more request stays within ``quota`` requests per ``window_s`` seconds."""
-        while self.sent_at and self.sent_at[0] <= now - window_s:
-            self.sent_at.popleft()
-        return len(self.sent_at) < quota
-
-    def record(self, now: float) -> None:
-        """Count a request that is sent."""
-        self.sent_at.append(now)
+        return sum(request.sent_at > now - window_s for request in self.requests) < quota
+
+    def record(self, request: SentRequest, window_s: float) -> None:
+        """Count a request that is sent, and forget those before the last ``window_s`` seconds."""
+        oldest_s = request.sent_at - window_s
+        while self.requests and self.requests[0].sent_at <= oldest_s:
+            self.requests.popleft()
+        self.requests.append(request)
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -4,7 +4,6 @@
 
 import structlog
 
-from knapweeddock.gateway.dividedlimit import SentRequests
 from knapweeddock.gateway.passivehealth import PassiveHealth
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
 from knapweeddock.gateway.serverlimit import ServerLimit
@@ -26,10 +25,7 @@
         cold_until: Monotonic time until which the server counts as cold.
         expires_at: Monotonic time at which the server is removed unless it registers
             again; None while it is registered.
-        sent_while_cold: Requests that this gateway has sent to it lately while it was cold.
         limit: Request rate that it has named as its limit.
-        sent_while_limited: Requests that this gateway has sent to it lately while it named a
-            limit.
         is_leaving: Whether it announced in a response that it leaves; this holds until the
             process ends.
         pause: Time for which it has asked this gateway to send nothing.
@@ -44,8 +40,6 @@
         "limit",
         "load",
         "pause",
-        "sent_while_cold",
-        "sent_while_limited",
     )
 
     def __init__(self, *, entry: ServerEntry) -> None:
@@ -54,9 +48,7 @@
         self.health = PassiveHealth()
         self.cold_until = 0.0
         self.expires_at: float | None = None
-        self.sent_while_cold = SentRequests()
         self.limit = ServerLimit()
-        self.sent_while_limited = SentRequests()
         self.is_leaving = False
         self.pause = ServerPause()
 
@@ -157,7 +149,9 @@
                 state.expires_at = now + grace_s
             return
         del self.servers[server_id]
-        self.departed.record(state.entry, now, is_leaving=state.is_leaving)
+        self.departed.record(
+            state.entry, now, is_leaving=state.is_leaving, cold_until=state.cold_until
+        )
         log.info("server removed", server=server_id, service=state.entry.service)
         self._rebuild_groups()
 
@@ -214,7 +208,9 @@
             log.info("server registered", server=entry.server, service=entry.service)
             state = ServerState(entry=entry)
             departed = self.departed.find(entry, now)
-            state.is_leaving = departed is not None and departed.is_leaving
+            if departed is not None:
+                state.is_leaving = departed.is_leaving
+                state.cold_until = departed.cold_until
         elif _is_restart(state.entry, entry):
             log.info("server restarted", server=entry.server, service=entry.service)
             state = ServerState(entry=entry)
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -198,11 +198,11 @@
             if isinstance(selection, Rejection):
                 await self._respond_without_server(context, selection)
                 return
-            self.server_selector.record_sent(selection_request, selection, now)
+            sent = self.server_selector.record_sent(selection_request, selection, now)
             context.tried.append(selection.server.entry.server)
             try:
                 result = await self.attempt_runner.run(
-                    outgoing, selection, remaining_s=context.deadline - now
+                    outgoing, selection, sent, remaining_s=context.deadline - now
                 )
             except asyncio.CancelledError:
                 self.attempt_tracker.record_cancellation(selection, started_at=now)
--- a/knapweeddock/gateway/serverquotas.py
+++ b/knapweeddock/gateway/serverquotas.py
@@ -1,9 +1,18 @@
-"""What this gateway may send to servers whose request rate is limited."""
+"""What this gateway may send to servers whose request rate is limited.
+
+What was sent counts by the identifier of the server: a server that registers again, under the
+same or another process, has got the same requests. To a server that turns out to be cold,
+those of the last second count, whatever was known of it when they were sent.
+"""
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 
 from knapweeddock.gateway.dividedlimit import (
+    ARRIVAL_RESERVE,
+    COLD_WINDOW_S,
     DividedLimit,
+    SentRequest,
     SentRequests,
     cold_limit,
     gateway_quota,
@@ -13,6 +22,25 @@
 from knapweeddock.gateway.quotamembers import QuotaMembers
 from knapweeddock.ids import ServerId, ServiceId, VmId
 
+MEMORY_S = 60.0
+"""Time in seconds after the last request to a server for which those before it are kept. It
+is longer than any window in which a limit allows more than a few requests."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _ServerRequests:
+    """Requests to one server.
+
+    Attributes:
+        all: All of them.
+        while_limited: Those that were sent while the server named a limit.
+        last_at: Monotonic time of the last one.
+    """
+
+    all: SentRequests = field(default_factory=SentRequests)
+    while_limited: SentRequests = field(default_factory=SentRequests)
+    last_at: float = float("-inf")
+
 
 class ServerQuotas:
     """Applies the limits of cold servers and those that servers name.
@@ -35,6 +63,7 @@
         self.vm = vm
         self.members = members
         self.cold_rate_per_s = cold_rate_per_s
+        self._sent: dict[ServerId, _ServerRequests] = {}
         self._quotas: dict[tuple[ServerId, int], int] = {}
         self._quotas_revision = -1
 
@@ -46,19 +75,38 @@
             for limit, sent in self._limits(server, now)
         )
 
-    def record_sent(self, server: ServerState, now: float) -> None:
-        """Count a request that is sent to ``server``."""
-        for _, sent in self._limits(server, now):
-            sent.record(now)
+    def record_sent(self, server: ServerState, now: float) -> SentRequest:
+        """Count a request that is sent to ``server``, and return it.
+
+        The caller sets its ``sent_at`` again if it has to wait for a connection first.
+        """
+        request = SentRequest(sent_at=now)
+        sent = self._sent.setdefault(server.entry.server, _ServerRequests())
+        sent.last_at = now
+        sent.all.record(request, COLD_WINDOW_S * ARRIVAL_RESERVE)
+        per_s = server.limit.active_per_s(now)
+        if per_s is not None:
+            sent.while_limited.record(request, named_limit(per_s).window_s)
+        return request
+
+    def forget_idle(self, now: float) -> None:
+        """Forget the servers to which nothing was sent for ``MEMORY_S`` seconds."""
+        idle = [server for server, sent in self._sent.items() if now - sent.last_at > MEMORY_S]
+        for server in idle:
+            del self._sent[server]
 
     def _limits(
         self, server: ServerState, now: float
     ) -> Iterator[tuple[DividedLimit, SentRequests]]:
-        if server.is_cold(now):
-            yield cold_limit(self.cold_rate_per_s(server.entry.service)), server.sent_while_cold
+        is_cold = server.is_cold(now)
         per_s = server.limit.active_per_s(now)
+        if not is_cold and per_s is None:
+            return
+        sent = self._sent.get(server.entry.server) or _ServerRequests()
+        if is_cold:
+            yield cold_limit(self.cold_rate_per_s(server.entry.service)), sent.all
         if per_s is not None:
-            yield named_limit(per_s), server.sent_while_limited
+            yield named_limit(per_s), sent.while_limited
 
     def _quota(self, limit: DividedLimit, server: ServerState) -> int:
         """Return this gateway's part of ``limit``, which is the same until the members change."""
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from knapweeddock.codes import ResultCode
+from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.routes import Route
@@ -205,15 +206,22 @@
             best = self._try_other_regions(request, regions, home_region, best, now)
         return best
 
-    def record_sent(self, request: SelectionRequest, selection: Selection, now: float) -> None:
-        """Record that ``request`` is sent to the selected server."""
+    def record_sent(
+        self, request: SelectionRequest, selection: Selection, now: float
+    ) -> SentRequest:
+        """Record that ``request`` is sent to the selected server.
+
+        Returns:
+            What counts against the server's limits.
+        """
         server = selection.server
-        self.quotas.record_sent(server, now)
+        sent = self.quotas.record_sent(server, now)
         if request.key:
             self.processing_times.record_handled(
                 request.service, server.entry.server, request.key, now
             )
         self.shift_limit.record(request.service, remote=selection.remote, now=now)
+        return sent
 
     # Regions
 
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -334,6 +334,7 @@
             if fleet.revision != self._pruned_revision:
                 self._pruned_revision = fleet.revision
                 self.connection_pool.retain_servers(fleet.servers)
+                self.forwarder.server_selector.quotas.forget_idle(now)
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
     async def drain(self) -> None:
--- a/knapweeddock/gateway/storereturn.py
+++ b/knapweeddock/gateway/storereturn.py
@@ -26,11 +26,13 @@
     Attributes:
         started_at_ms: Wall-clock time of its start in ms, 0 when unknown.
         is_leaving: Whether it announced in a response that it leaves.
+        cold_until: Monotonic time until which it counted as cold.
         departed_at: Monotonic time at which it was removed.
     """
 
     started_at_ms: int
     is_leaving: bool
+    cold_until: float
     departed_at: float
 
 
@@ -40,12 +42,17 @@
     def __init__(self) -> None:
         self._departed: dict[ServerId, DepartedServer] = {}
 
-    def record(self, entry: ServerEntry, now: float, *, is_leaving: bool) -> None:
+    def record(
+        self, entry: ServerEntry, now: float, *, is_leaving: bool, cold_until: float
+    ) -> None:
         """Record that a server is no longer registered."""
         self._drop_old(now)
         self._departed.pop(entry.server, None)
         self._departed[entry.server] = DepartedServer(
-            started_at_ms=entry.started_at_ms, is_leaving=is_leaving, departed_at=now
+            started_at_ms=entry.started_at_ms,
+            is_leaving=is_leaving,
+            cold_until=cold_until,
+            departed_at=now,
         )
 
     def find(self, entry: ServerEntry, now: float) -> DepartedServer | None:
--- a/tests/gateway/test_dividedlimit.py
+++ b/tests/gateway/test_dividedlimit.py
@@ -7,6 +7,7 @@
 from knapweeddock.gateway.dividedlimit import (
     COLD_WINDOW_S,
     NAMED_WINDOW_S,
+    SentRequest,
     SentRequests,
     cold_limit,
     gateway_quota,
@@ -48,7 +49,7 @@
     taken = []
     for now in (index * 0.05 for index in range(200)):
         if sent.allows(2, 1.1, now):
-            sent.record(now)
+            sent.record(SentRequest(sent_at=now), 1.1)
             taken.append(now)
     for start in taken:
         assert sum(start <= at < start + 1.0 for at in taken) <= 2
@@ -73,9 +74,19 @@
         now += rng.expovariate(10 * limit_per_s)
         vm = rng.choice(gateways)
         if sent[vm].allows(quotas[vm], limit.window_s, now):
-            sent[vm].record(now)
+            sent[vm].record(SentRequest(sent_at=now), limit.window_s)
             arrived_at.append(now + 0.03 * rng.random())
     arrived_at.sort()
     for start in arrived_at:
         assert sum(start <= at < start + 4.0 for at in arrived_at) <= limit_per_s * 4.0 + 1
     assert arrived_at
+
+
+def test_request_counts_from_when_it_was_sent_on_its_connection():
+    # A connection that took long to open would let two quotas arrive within one second.
+    sent = SentRequests()
+    request = SentRequest(sent_at=0.0)
+    sent.record(request, 1.1)
+    request.sent_at = 0.25
+    assert not sent.allows(1, 1.1, 1.2)
+    assert sent.allows(1, 1.1, 1.36)
--- a/tests/gateway/test_serverquotas.py
+++ b/tests/gateway/test_serverquotas.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.serverquotas import ServerQuotas
+from knapweeddock.gateway.serverquotas import MEMORY_S, ServerQuotas
 from tests.gateway.support import (
     make_fleet,
     make_quota_members,
@@ -47,3 +47,14 @@
     assert count_sent(quotas, server, seconds=1.0) == 20
     server.observe_limit(0.5, NOW + 1.0)
     assert quotas.allow(server, NOW + 1.0)
+
+
+def test_requests_are_forgotten_when_nothing_is_sent_any_more():
+    fleet = make_fleet(make_server("a"), make_server("b"))
+    quotas = make_quotas()
+    for name in ("a", "b"):
+        server_state(fleet, name).cold_until = NOW + 1000
+        quotas.record_sent(server_state(fleet, name), NOW if name == "a" else NOW + MEMORY_S)
+    quotas.forget_idle(NOW + MEMORY_S + 1)
+    assert not quotas.allow(server_state(fleet, "b"), NOW + MEMORY_S)
+    assert quotas.allow(server_state(fleet, "a"), NOW)
--- a/tests/gateway/test_storereturn.py
+++ b/tests/gateway/test_storereturn.py
@@ -45,7 +45,7 @@
 
 def test_older_word_of_the_copy_about_a_server():
     departed = DepartedServers()
-    departed.record(make_server("gone", started_at_ms=5), 0.0, is_leaving=False)
+    departed.record(make_server("gone", started_at_ms=5), 0.0, is_leaving=False, cold_until=0.0)
     known = {
         "restarted": make_server("restarted", started_at_ms=9),
         "draining": make_server("draining", started_at_ms=5, phase=ServerPhase.DRAINING),
@@ -64,7 +64,7 @@
 
 def test_process_that_started_later_is_not_gone():
     departed = DepartedServers()
-    departed.record(make_server("a", started_at_ms=5), 0.0, is_leaving=True)
+    departed.record(make_server("a", started_at_ms=5), 0.0, is_leaving=True, cold_until=0.0)
     assert departed.find(make_server("a", started_at_ms=5), 1.0).is_leaving
     assert departed.find(make_server("a", started_at_ms=6), 1.0) is None
     assert departed.find(make_server("a", started_at_ms=5), DEPARTED_MEMORY_S + 1) is None
