--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -126,7 +126,7 @@
         elif metadata.limit_per_s is not None:
             self.report_board.record(server, round(server.load.total_requests(now)), now)
         if metadata.warmup_left_s:
-            server.cold_until = max(server.cold_until, now + metadata.warmup_left_s)
+            server.become_cold(now + metadata.warmup_left_s, now)
         if metadata.leaving:
             self.fleet.record_leaving(server)
         if metadata.pause_s:
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from knapweeddock.gateway.dividedlimit import ARRIVAL_RESERVE, COLD_WINDOW_S
 from knapweeddock.gateway.passivehealth import PassiveHealth
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
 from knapweeddock.gateway.serverlimit import ServerLimit
@@ -23,6 +24,8 @@
         load: Estimated number of requests at the server.
         health: Passive health: reachability, failure rate and latency ratio.
         cold_until: Monotonic time until which the server counts as cold.
+        resumes_at: Monotonic time before which nothing is sent to the server, since it turned
+            out to be cold while gateways sent it their usual share.
         expires_at: Monotonic time at which the server is removed unless it registers
             again; None while it is registered.
         limit: Request rate that it has named as its limit.
@@ -40,6 +43,7 @@
         "limit",
         "load",
         "pause",
+        "resumes_at",
     )
 
     def __init__(self, *, entry: ServerEntry) -> None:
@@ -47,6 +51,7 @@
         self.load = ServerLoad(slots=entry.slots)
         self.health = PassiveHealth()
         self.cold_until = 0.0
+        self.resumes_at = 0.0
         self.expires_at: float | None = None
         self.limit = ServerLimit()
         self.is_leaving = False
@@ -56,6 +61,23 @@
         """Whether the server is warming up and its request rate is limited."""
         return now < self.cold_until
 
+    def gets_usual_share(self, now: float) -> bool:
+        """Whether requests are sent to the server as to any other."""
+        is_in_use = self.entry.phase is ServerPhase.READY and not self.is_leaving
+        return is_in_use and self.accepts_requests(now) and not self.is_cold(now)
+
+    def become_cold(self, until: float, now: float) -> None:
+        """Record that the server turns out to be cold until ``until``.
+
+        If this gateway took it for warm, others do so as well or have just learned of it, and
+        have used up the limit of this second. A late word on the end of the warm-up changes
+        nothing of that.
+        """
+        wait_s = COLD_WINDOW_S * ARRIVAL_RESERVE
+        if self.gets_usual_share(now) and until - now > wait_s:
+            self.resumes_at = now + wait_s
+        self.cold_until = max(self.cold_until, until)
+
     def begin_pause(self, pause_s: float, now: float) -> None:
         """Send nothing to the server for ``pause_s`` seconds, then increase the rate slowly."""
         if not self.pause.is_active(now):
@@ -75,7 +97,7 @@
 
     def accepts_requests(self, now: float) -> bool:
         """Whether requests may be sent, apart from limits on their rate."""
-        return self.health.is_usable() and not self.pause.is_active(now)
+        return self.health.is_usable() and not self.pause.is_active(now) and now >= self.resumes_at
 
 
 GroupKey = tuple[ServiceId, RegionId]
@@ -203,27 +225,42 @@
 
     def _upsert(self, entry: ServerEntry, now: float) -> None:
         state = self.servers.get(entry.server)
-        cold_s = entry.warmup_left_s
         if state is None:
-            log.info("server registered", server=entry.server, service=entry.service)
-            state = ServerState(entry=entry)
-            departed = self.departed.find(entry, now)
-            if departed is not None:
-                state.is_leaving = departed.is_leaving
-                state.cold_until = departed.cold_until
+            state = self._registered_state(entry, now)
         elif _is_restart(state.entry, entry):
-            log.info("server restarted", server=entry.server, service=entry.service)
-            state = ServerState(entry=entry)
-            # The entry may not contain the warm-up time of the new process yet.
-            cold_s = cold_s or self.warmup_s.get(entry.service, 0.0)
-        elif state.entry.phase is not entry.phase:
-            log.info("server phase changed", server=entry.server, phase=entry.phase.value)
+            state = self._restarted_state(state, entry, now)
+        else:
+            if state.entry.phase is not entry.phase:
+                log.info("server phase changed", server=entry.server, phase=entry.phase.value)
+            if entry.warmup_left_s > 0:
+                state.become_cold(now + entry.warmup_left_s, now)
         self.servers[entry.server] = state
         state.entry = entry
         state.expires_at = None
         state.load.slots = entry.slots
-        if cold_s > 0:
-            state.cold_until = max(state.cold_until, now + cold_s)
+
+    def _registered_state(self, entry: ServerEntry, now: float) -> ServerState:
+        """Return the state of a server that was not registered."""
+        log.info("server registered", server=entry.server, service=entry.service)
+        state = ServerState(entry=entry)
+        departed = self.departed.find(entry, now)
+        if departed is not None:
+            state.is_leaving = departed.is_leaving
+            state.cold_until = departed.cold_until
+        state.cold_until = max(state.cold_until, now + entry.warmup_left_s)
+        return state
+
+    def _restarted_state(self, old: ServerState, entry: ServerEntry, now: float) -> ServerState:
+        """Return the state of a server whose process has restarted under its identifier."""
+        log.info("server restarted", server=entry.server, service=entry.service)
+        state = ServerState(entry=entry)
+        # The entry may not contain the warm-up time of the new process yet.
+        cold_s = entry.warmup_left_s or self.warmup_s.get(entry.service, 0.0)
+        if cold_s > 0 and old.gets_usual_share(now):
+            state.become_cold(now + cold_s, now)
+        elif cold_s > 0:
+            state.cold_until = now + cold_s
+        return state
 
     def _rebuild_groups(self) -> None:
         groups: dict[GroupKey, list[ServerState]] = {}
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -60,9 +60,10 @@
         if metadata is None:
             state.health.record_unreachable(time.monotonic())
             return
-        state.health.record_probe_success()
         if metadata.warmup_left_s:
-            state.cold_until = max(state.cold_until, time.monotonic() + metadata.warmup_left_s)
+            now = time.monotonic()
+            state.become_cold(now + metadata.warmup_left_s, now)
+        state.health.record_probe_success()
         log.info("server back", server=state.entry.server, warmup_left_s=metadata.warmup_left_s)
 
     async def _check_health(self, state: ServerState) -> ResponseMetadata | None:
--- a/tests/gateway/test_cold_server_sums.py
+++ b/tests/gateway/test_cold_server_sums.py
@@ -123,7 +123,7 @@
         sent_at.append(gateways[index % size].now)
     for gateway in gateways:
         gateway.advance(SETTLED_S + 0.1)
-        gateway.state.fleet.servers["s"].cold_until = 100.0
+        gateway.state.fleet.servers["s"].become_cold(100.0, gateway.now)
     sent_at += send_all_that_is_allowed(gateways, until=SETTLED_S + 0.9)
     assert most_in_a_second(sent_at) <= COLD_RATE_PER_S
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -80,3 +80,23 @@
     server_state(fleet, "a").health.record_unreachable(0.0)
     # Each server has 3 slots.
     assert fleet.reachable_slots(SERVICE, REGION) == 3
+
+
+def test_server_that_turns_cold_gets_nothing_for_a_moment():
+    # Gateways that learn of it later have sent it their usual share in this second.
+    fleet = make_fleet(make_server("a"))
+    fleet.upsert(make_server("a", warmup_left_s=3.0), 10.0)
+    assert not server_state(fleet, "a").accepts_requests(11.0)
+    assert server_state(fleet, "a").accepts_requests(11.2)
+    fleet.upsert(make_server("a", warmup_left_s=2.0), 11.2)
+    assert server_state(fleet, "a").accepts_requests(11.2)
+
+
+def test_new_server_and_one_that_was_unreachable_begin_at_once():
+    fleet = make_fleet(make_server("a", started_at_ms=1))
+    server_state(fleet, "a").health.record_unreachable(9.0)
+    fleet.upsert(make_server("a", started_at_ms=2, warmup_left_s=3.0), 10.0)
+    fleet.upsert(make_server("b", warmup_left_s=3.0), 10.0)
+    for name in ("a", "b"):
+        assert server_state(fleet, name).accepts_requests(10.0)
+        assert server_state(fleet, name).is_cold(12.9)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -209,6 +209,7 @@
         world.store.put("servers", name, {**entry, "born": entry["born"] + 1})
         await until(lambda: world.gateway.routing_state.fleet.servers[name].entry.address[1] == 1)
         world.gateway.routing_state.fleet.servers[name].cold_until = 0.0
+        world.gateway.routing_state.fleet.servers[name].resumes_at = 0.0
         assert (await world.ask("/read/a", request_id="q2")).status == 200
         assert not world.gateway.routing_state.fleet.servers[name].health.is_usable()
         assert server.ran == ["q1"]
