--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
+from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.demand import SpilloverController
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.processingtimes import ProcessingTimes
@@ -37,6 +38,7 @@
         spillover_controller: Counts requests to measure the offered load.
         fleet: Backend servers.
         report_board: Shares the load of busy servers with the other gateways.
+        cold_board: Shares which servers cannot be reached with the other gateways.
         gateway_count: Returns the number of registered gateways, this one included.
         now: Returns the monotonic time.
     """
@@ -49,6 +51,7 @@
         spillover_controller: SpilloverController,
         fleet: Fleet,
         report_board: ReportBoard,
+        cold_board: ColdBoard,
         gateway_count: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
@@ -57,6 +60,7 @@
         self.spillover_controller = spillover_controller
         self.fleet = fleet
         self.report_board = report_board
+        self.cold_board = cold_board
         self.gateway_count = gateway_count
         self.now = now
         self._retry_budgets: dict[ServiceId, RetryBudgetShare] = {}
@@ -88,6 +92,7 @@
         match result.outcome:
             case AttemptOutcome.UNREACHABLE | AttemptOutcome.MISDIRECTED:
                 server.health.record_unreachable(now)
+                self.cold_board.record_unreachable(server, now)
             case AttemptOutcome.LOST:
                 server.health.record_broken_connection(now)
             case AttemptOutcome.NOT_RUN:
@@ -116,6 +121,7 @@
     def _record_server_state(self, selection: Selection, result: AttemptResult, now: float) -> None:
         server = selection.server
         metadata = result.metadata
+        server.health.responded_at = now
         server.observe_limit(metadata.limit_per_s, now)
         if metadata.load is not None:
             server.load.record_reported_load(
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -24,6 +24,8 @@
         load: Estimated number of requests at the server.
         health: Passive health: reachability, failure rate and latency ratio.
         cold_until: Monotonic time until which the server counts as cold.
+        presumed_cold_until: Monotonic time until which the server counts as cold because it
+            could not be reached and may have started again.
         resumes_at: Monotonic time before which nothing is sent to the server, since it turned
             out to be cold while gateways sent it their usual share.
         expires_at: Monotonic time at which the server is removed unless it registers
@@ -43,6 +45,7 @@
         "limit",
         "load",
         "pause",
+        "presumed_cold_until",
         "resumes_at",
     )
 
@@ -51,6 +54,7 @@
         self.load = ServerLoad(slots=entry.slots)
         self.health = PassiveHealth()
         self.cold_until = 0.0
+        self.presumed_cold_until = 0.0
         self.resumes_at = 0.0
         self.expires_at: float | None = None
         self.limit = ServerLimit()
@@ -59,7 +63,7 @@
 
     def is_cold(self, now: float) -> bool:
         """Whether the server is warming up and its request rate is limited."""
-        return now < self.cold_until
+        return now < max(self.cold_until, self.presumed_cold_until)
 
     def gets_usual_share(self, now: float) -> bool:
         """Whether requests are sent to the server as to any other."""
@@ -73,10 +77,24 @@
         have used up the limit of this second. A late word on the end of the warm-up changes
         nothing of that.
         """
+        self._stop_usual_share(until, now)
+        self.cold_until = max(self.cold_until, until)
+
+    def presume_cold(self, until: float, now: float) -> None:
+        """Count the server as cold, since another gateway could not reach it."""
+        self._stop_usual_share(until, now)
+        self.presumed_cold_until = max(self.presumed_cold_until, until)
+
+    def end_presumption(self, now: float) -> None:
+        """Record that the server has not started again, or is warm."""
+        self.presumed_cold_until = 0.0
+        if not self.is_cold(now):
+            self.resumes_at = 0.0
+
+    def _stop_usual_share(self, until: float, now: float) -> None:
         wait_s = COLD_WINDOW_S * ARRIVAL_RESERVE
         if self.gets_usual_share(now) and until - now > wait_s:
             self.resumes_at = now + wait_s
-        self.cold_until = max(self.cold_until, until)
 
     def begin_pause(self, pause_s: float, now: float) -> None:
         """Send nothing to the server for ``pause_s`` seconds, then increase the rate slowly."""
--- a/knapweeddock/gateway/passivehealth.py
+++ b/knapweeddock/gateway/passivehealth.py
@@ -32,6 +32,7 @@
 
     Attributes:
         next_probe_at: Monotonic time before which the server is not probed.
+        responded_at: Monotonic time of the last response.
         needs_probe: Whether the server was unreachable; it gets no requests until a probe
             succeeds, since it may have become cold.
     """
@@ -43,11 +44,13 @@
         "_updated_at",
         "needs_probe",
         "next_probe_at",
+        "responded_at",
     )
 
     def __init__(self) -> None:
         self.next_probe_at = 0.0
         self.needs_probe = False
+        self.responded_at = float("-inf")
         self._backoff_s = INITIAL_BACKOFF_S
         self._failure_rate = 0.0
         self._latency_ratio = 1.0
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -11,7 +11,9 @@
 import msgspec
 import structlog
 
+from knapweeddock.gateway.duekeys import Direction, Source
 from knapweeddock.gateway.heartbeats import HEARTBEAT_INTERVAL_S, Heartbeat, RegionSummary
+from knapweeddock.gateway.notices import NoticeDatagram, Notices
 from knapweeddock.gateway.records import Address, GatewayEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.relaytree import relay_order
@@ -24,6 +26,9 @@
 """Maximum number of gateways in the sender's region that get its heartbeats; the bound keeps
 the cost per gateway constant in larger fleets."""
 
+NOTICE_INTERVAL_S = 0.2
+"""Interval in seconds at which notices are sent that have become due."""
+
 MAX_OTHER_REGION_RECEIVERS = 4
 """Maximum number of gateways of each other region that get heartbeats or summaries."""
 
@@ -60,7 +65,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self._addresses: dict[VmId, Address] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Heartbeat | RegionSummary)
+        self._decoder = msgspec.msgpack.Decoder(Heartbeat | RegionSummary | NoticeDatagram)
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         """Store the socket for sending."""
@@ -80,6 +85,15 @@
                 self.feed.record_heartbeat(message, now)
             case RegionSummary():
                 self.feed.record_summary(message, now)
+            case NoticeDatagram(region=region, notices=notices):
+                self.feed.notice_board.merge(notices, now, self._source(region))
+
+    def _source(self, region: RegionId) -> Source:
+        if region != self.entry.region:
+            return Source.OTHER_REGION
+        size = sum(entry.region == region for entry in self.gateways().values())
+        reaches_all = size - 1 <= MAX_OWN_REGION_RECEIVERS
+        return Source.NEAR_PEER if reaches_all else Source.SPREADING_PEER
 
     def error_received(self, error: OSError) -> None:
         """Log that a datagram was not delivered, such as one to a gateway that has exited."""
@@ -104,12 +118,44 @@
             data = heartbeat if is_near or summary is None else summary
             self.transport.sendto(data, entry.peer_address)
 
+    def send_notices(self, now: float) -> None:
+        """Send the notices that are due to gateways that no relay tells.
+
+        A relay tells the gateways of its region by its pulses, and a subscriber leaves it to
+        its relay to tell anybody.
+        """
+        board = self.feed.notice_board
+        if self.is_subscribed():
+            board.drop(Direction.TO_OTHER_REGIONS)
+            return
+        far = board.take(Direction.TO_OTHER_REGIONS, now)
+        near = board.take(Direction.TO_RELAY, now)
+        if self.is_relay():
+            near = Notices()
+        if self.transport is None or (near.is_empty and far.is_empty):
+            return
+        for entry in choose_receivers(self.entry, self.gateways().values()):
+            notices = near if entry.region == self.entry.region else far
+            if not notices.is_empty:
+                datagram = NoticeDatagram(region=self.entry.region, notices=notices)
+                self.transport.sendto(self._encoder.encode(datagram), entry.peer_address)
+
     async def run(self) -> None:
-        """Send heartbeats until cancelled."""
+        """Send heartbeats and notices until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._send_heartbeats())
+            group.create_task(self._send_notices())
+
+    async def _send_heartbeats(self) -> None:
         while True:
             self.send()
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def _send_notices(self) -> None:
+        while True:
+            self.send_notices(asyncio.get_running_loop().time())
+            await asyncio.sleep(NOTICE_INTERVAL_S)
+
 
 def choose_receivers(own: GatewayEntry, gateways: Iterable[GatewayEntry]) -> list[GatewayEntry]:
     """Return the gateways to which the gateway ``own`` sends datagrams."""
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -7,6 +7,7 @@
 import structlog
 
 from knapweeddock.errors import PeerUnavailable, ResponseError
+from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.connectionpool import CONNECT_TIMEOUT_S
 from knapweeddock.gateway.fleet import ServerState
 from knapweeddock.gateway.routingstate import RoutingState
@@ -25,12 +26,16 @@
     """Probes unreachable servers until they respond, and learns how long they stay cold.
 
     Attributes:
+        cold_board: Shares what the probes tell with the other gateways.
         probes_sent: Number of probes since the start.
     """
 
-    def __init__(self, *, routing_state: RoutingState, wire: WireFormat) -> None:
+    def __init__(
+        self, *, routing_state: RoutingState, wire: WireFormat, cold_board: ColdBoard
+    ) -> None:
         self.routing_state = routing_state
         self.wire = wire
+        self.cold_board = cold_board
         self.probes_sent = 0
         self._tasks: dict[ServerId, asyncio.Task[None]] = {}
 
@@ -54,18 +59,25 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 metadata = await self._check_health(state)
         except (PeerUnavailable, ResponseError, TimeoutError) as error:
-            state.health.record_unreachable(time.monotonic())
+            self._record_unreachable(state)
             log.info("server not back", server=state.entry.server, reason=str(error) or "timeout")
             return
         if metadata is None:
-            state.health.record_unreachable(time.monotonic())
+            self._record_unreachable(state)
             return
-        if metadata.warmup_left_s:
-            now = time.monotonic()
-            state.become_cold(now + metadata.warmup_left_s, now)
+        now = time.monotonic()
+        warmup_left_s = metadata.warmup_left_s or 0.0
+        if warmup_left_s > 0:
+            state.become_cold(now + warmup_left_s, now)
         state.health.record_probe_success()
+        self.cold_board.record_warmup(state, warmup_left_s, now)
         log.info("server back", server=state.entry.server, warmup_left_s=metadata.warmup_left_s)
 
+    def _record_unreachable(self, state: ServerState) -> None:
+        now = time.monotonic()
+        state.health.record_unreachable(now)
+        self.cold_board.record_unreachable(state, now)
+
     async def _check_health(self, state: ServerState) -> ResponseMetadata | None:
         """Return the metadata of the server's health response, or None if it is unfit.
 
--- a/knapweeddock/gateway/regionfeed.py
+++ b/knapweeddock/gateway/regionfeed.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from knapweeddock.gateway.duekeys import Direction, Source
 from knapweeddock.gateway.heartbeats import (
     HEARTBEAT_INTERVAL_S,
     GatewayPhase,
@@ -22,6 +23,7 @@
     summarize,
 )
 from knapweeddock.gateway.liveness import Liveness
+from knapweeddock.gateway.notices import NoticeBoard, Notices
 from knapweeddock.gateway.serverreports import ReportBoard, ServerReport
 from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storeposition import StorePosition
@@ -51,6 +53,7 @@
         gone: Gateways that are no longer alive.
         demands: Demand of each region, if it is due.
         reports: Reports of backend servers.
+        notices: Evidence of other gateways.
     """
 
     connected: bool
@@ -60,6 +63,7 @@
     gone: list[VmId] = []
     demands: dict[RegionId, RegionDemand] = {}
     reports: list[ServerReport] = []
+    notices: Notices = Notices()
 
 
 class SubscriberReport(msgspec.Struct, frozen=True, kw_only=True, tag="report", omit_defaults=True):
@@ -69,6 +73,7 @@
         heartbeats: Its own heartbeat, and those of gateways that the relay may not hear.
         summaries: Summaries of other regions that it has received.
         reports: Reports of backend servers.
+        notices: Evidence of this gateway and of others without a relay.
         known: Positions up to which it knows the topics, in its first message to a relay,
             which then sends only those that have changed since.
     """
@@ -76,12 +81,13 @@
     heartbeats: list[Heartbeat] = []
     summaries: list[RegionSummary] = []
     reports: list[ServerReport] = []
+    notices: Notices = Notices()
     known: dict[Topic, StorePosition] = {}
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to send."""
-        return not (self.heartbeats or self.summaries or self.reports)
+        return not (self.heartbeats or self.summaries or self.reports) and self.notices.is_empty
 
 
 class RegionFeed:
@@ -91,6 +97,7 @@
         region: Region of this gateway.
         liveness: Which gateways are alive.
         report_board: Reports of backend servers.
+        notice_board: Evidence that is shared at once.
         own_heartbeat: Returns the heartbeat of this gateway.
         region_sizes: Returns the number of registered gateways by region.
     """
@@ -101,12 +108,14 @@
         vm: VmId,
         region: RegionId,
         report_board: ReportBoard,
+        notice_board: NoticeBoard,
         own_heartbeat: Callable[[], Heartbeat],
         region_sizes: Callable[[], dict[RegionId, int]],
     ) -> None:
         self.region = region
         self.liveness = Liveness(vm=vm)
         self.report_board = report_board
+        self.notice_board = notice_board
         self.own_heartbeat = own_heartbeat
         self.region_sizes = region_sizes
         self._told_demands: dict[RegionId, tuple[RegionDemand, float]] = {}
@@ -134,7 +143,10 @@
         summaries = list(self._summaries_due.values())
         self._summaries_due.clear()
         return SubscriberReport(
-            heartbeats=heartbeats, summaries=summaries, reports=self.report_board.take_up(now)
+            heartbeats=heartbeats,
+            summaries=summaries,
+            reports=self.report_board.take_up(now),
+            notices=self.notice_board.take(Direction.TO_RELAY, now),
         )
 
     def announce(self) -> None:
@@ -147,6 +159,7 @@
         for region, demand in pulse.demands.items():
             self._told_demands[region] = (demand, now)
         self.report_board.merge(pulse.reports, now, from_relay=True)
+        self.notice_board.merge(pulse.notices, now, Source.RELAY)
 
     # As a relay
 
@@ -158,6 +171,7 @@
         for summary in report.summaries:
             self.record_summary(summary, now)
         self.report_board.merge(report.reports, now, from_relay=False)
+        self.notice_board.merge(report.notices, now, Source.SUBSCRIBER)
 
     def take_pulse(self, now: float, *, connected: bool, depth: int = 0) -> Pulse:
         """Return the pulse for all subscribers.
@@ -182,6 +196,7 @@
             gone=gone,
             demands=demands,
             reports=self.report_board.take_down(now),
+            notices=self.notice_board.take(Direction.TO_SUBSCRIBERS, now),
         )
 
     def first_pulse(self, now: float, *, connected: bool, depth: int = 0) -> Pulse:
@@ -192,6 +207,7 @@
             complete=True,
             members=list(self._all_members(now).values()),
             demands=self.region_demands(now),
+            notices=self.notice_board.current(now),
         )
 
     def summary(self, now: float) -> RegionSummary:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -14,6 +14,7 @@
 from knapweeddock.gateway import lookups
 from knapweeddock.gateway.attempt import AttemptRunner
 from knapweeddock.gateway.attempttracker import AttemptTracker
+from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.connectionpool import ConnectionPool
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.demand import SpilloverController
@@ -21,6 +22,7 @@
 from knapweeddock.gateway.forward import Forwarder
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
+from knapweeddock.gateway.notices import NoticeBoard
 from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
@@ -97,7 +99,11 @@
         self.metrics = GatewayMetrics(vm=settings.vm)
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
-        self.prober = Prober(routing_state=self.routing_state, wire=wire)
+        self.cold_board = ColdBoard(fleet=self.routing_state.fleet)
+        self.notice_board = NoticeBoard(cold=self.cold_board)
+        self.prober = Prober(
+            routing_state=self.routing_state, wire=wire, cold_board=self.cold_board
+        )
         self.stall_watch = watch_from_now(MAINTENANCE_INTERVAL_S)
         self._pruned_revision = -1
         self._build_store_sync()
@@ -122,6 +128,7 @@
             vm=self.settings.vm,
             region=self.settings.region,
             report_board=self.report_board,
+            notice_board=self.notice_board,
             own_heartbeat=self._current_heartbeat,
             region_sizes=self._region_sizes,
         )
@@ -194,6 +201,7 @@
             spillover_controller=self.spillover_controller,
             fleet=self.routing_state.fleet,
             report_board=self.report_board,
+            cold_board=self.cold_board,
             gateway_count=self.quota_members.count,
             now=time.monotonic,
         )
@@ -329,6 +337,7 @@
             self.routing_state.maintain()
             self.feed.liveness.drop_silent(now)
             self._update_quota_members(now)
+            self.notice_board.forget_past(now)
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import msgspec
 
 from knapweeddock.gateway.peers import (
@@ -9,7 +11,7 @@
     listen_for_heartbeats,
 )
 from knapweeddock.gateway.relaytree import relay_order
-from tests.gateway.support import make_feed, make_gateway, make_heartbeat
+from tests.gateway.support import make_feed, make_gateway, make_heartbeat, make_server
 from tests.waiting import until
 
 
@@ -88,3 +90,43 @@
 def test_small_fleet_hears_everybody():
     entries = [make_gateway(f"n{index}") for index in range(6)]
     assert len(choose_receivers(make_gateway("n0"), entries)) == 5
+
+
+async def test_gateway_without_a_relay_tells_the_others_which_server_it_cannot_reach():
+    # While the store is away nobody has a relay, and each one would find out for itself.
+    second, far = make_peers("two"), make_peers("far", region="south")
+    for peers in (second, far):
+        peers.feed.notice_board.cold.fleet.replace_all([make_server("s")], 0.0, grace_s=0.0)
+    async with (
+        listen_for_heartbeats(second, ("127.0.0.1", 0)),
+        listen_for_heartbeats(far, ("127.0.0.1", 0)),
+    ):
+        entries = [
+            make_gateway(
+                peers.entry.vm,
+                region=peers.entry.region,
+                peer_address=peers.transport.get_extra_info("sockname"),
+            )
+            for peers in (second, far)
+        ]
+        first = make_peers("one", *entries)
+        board = first.feed.notice_board.cold
+        board.fleet.replace_all([make_server("s")], 0.0, grace_s=0.0)
+        async with listen_for_heartbeats(first, ("127.0.0.1", 0)):
+            now = asyncio.get_running_loop().time()
+            board.record_unreachable(board.fleet.servers["s"], now)
+            first.send_notices(now)
+            for peers in (second, far):
+                state = peers.feed.notice_board.cold.fleet.servers["s"]
+                await until(lambda state=state: state.is_cold(now))
+
+
+async def test_relay_and_subscriber_leave_notices_to_their_connection():
+    for role in ({"subscribed": True}, {"relay": True}):
+        peers = make_peers("one", make_gateway("two"), **role)
+        peers.transport = RecordingTransport()
+        board = peers.feed.notice_board.cold
+        board.fleet.replace_all([make_server("s")], 0.0, grace_s=0.0)
+        board.record_unreachable(board.fleet.servers["s"], 5.0)
+        peers.send_notices(5.0)
+        assert peers.transport.sent == {}
