--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -95,13 +95,25 @@
             self._record_unreachable(state)
             return
         now = time.monotonic()
-        warmup_left_s = metadata.warmup_left_s or 0.0
+        warmup_left_s = self._warmup_left_s(state, metadata)
         if warmup_left_s > 0:
             state.become_cold(now + warmup_left_s, now)
         state.health.record_probe_success()
         self.cold_board.record_warmup(state, warmup_left_s, now)
         log.info("server back", server=state.entry.server, warmup_left_s=warmup_left_s)
 
+    def _warmup_left_s(self, state: ServerState, metadata: ResponseMetadata) -> float:
+        """Return the time in seconds for which a server that is back stays cold.
+
+        A server that is too busy for the probe does not tell; it may be busy because it is
+        cold.
+        """
+        if metadata.warmup_left_s is not None:
+            return metadata.warmup_left_s
+        if metadata.not_run:
+            return self.routing_state.fleet.warmup_s.get(state.entry.service, 0.0)
+        return 0.0
+
     def _record_unreachable(self, state: ServerState) -> None:
         now = time.monotonic()
         state.health.record_unreachable(now)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -247,6 +247,19 @@
         assert {reply.status for reply in replies} == {200, 503}
 
 
+async def test_server_that_is_too_busy_for_the_health_check_is_not_taken_for_warm(settings_path):
+    # It may have started again; a rejected check does not tell how long it stays cold.
+    async with running_world(settings_path, servers=1) as world:
+        await world.settle()
+        state = world.gateway.routing_state.fleet.servers["i-0"]
+        world.servers["i-0"].rejects_probes = True
+        state.health.record_unreachable(0.0)
+        await until(state.health.is_usable)
+        for index in range(20):
+            await world.ask("/read/a", request_id=f"n{index}")
+        assert len(world.ran()) <= 3.5 * 1.5 + 5
+
+
 async def test_server_that_breaks_off_connections_but_lives_gets_requests_on(settings_path):
     async with running_world(settings_path, servers=1) as world:
         world.servers["i-0"].fault = ServerFault.RESET_AFTER_RUN
