--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -261,11 +261,15 @@
         """Return the state of a server that was not registered."""
         log.info("server registered", server=entry.server, service=entry.service)
         state = ServerState(entry=entry)
+        cold_s = entry.warmup_left_s
         departed = self.departed.find(entry, now)
         if departed is not None:
             state.is_leaving = departed.is_leaving
             state.cold_until = departed.cold_until
-        state.cold_until = max(state.cold_until, now + entry.warmup_left_s)
+        elif self.is_loaded:
+            # It has started since this gateway began to watch.
+            cold_s = cold_s or self.warmup_s.get(entry.service, 0.0)
+        state.cold_until = max(state.cold_until, now + cold_s)
         return state
 
     def _restarted_state(self, old: ServerState, entry: ServerEntry, now: float) -> ServerState:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -1,3 +1,4 @@
+from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.records import ServerPhase
 from tests.gateway.support import (
     REGION,
@@ -82,6 +83,36 @@
     assert fleet.reachable_slots(SERVICE, REGION) == 3
 
 
+def test_new_server_whose_entry_tells_no_warmup_is_cold():
+    # The field may be missing, or the entry may have been written before it was known.
+    fleet = make_fleet(make_server("first"))
+    fleet.warmup_s = {SERVICE: 3.0}
+    fleet.upsert(make_server("new"), 10.0)
+    fleet.replace_all([make_server("first"), make_server("newer")], 20.0, grace_s=0.0)
+    assert server_state(fleet, "newer").is_cold(22.9)
+    assert not server_state(fleet, "first").is_cold(20.0)
+
+
+def test_server_that_registers_again_after_an_outage_is_not_cold():
+    fleet = make_fleet(make_server("a", started_at_ms=1))
+    fleet.warmup_s = {SERVICE: 3.0}
+    fleet.deregister("a", 10.0, grace_s=0.0)
+    fleet.upsert(make_server("a", started_at_ms=1), 15.0)
+    assert not server_state(fleet, "a").is_cold(15.0)
+    fleet.deregister("a", 20.0, grace_s=0.0)
+    fleet.upsert(make_server("a", started_at_ms=2), 25.0)
+    assert server_state(fleet, "a").is_cold(27.9)
+
+
+def test_servers_of_the_first_list_are_taken_for_what_their_entries_tell():
+    # A gateway that starts knows nothing of what came before.
+    fleet = Fleet()
+    fleet.warmup_s = {SERVICE: 3.0}
+    fleet.replace_all([make_server("a"), make_server("b", warmup_left_s=1.0)], 0.0, grace_s=0.0)
+    assert not server_state(fleet, "a").is_cold(0.0)
+    assert server_state(fleet, "b").is_cold(0.9)
+
+
 def test_server_that_turns_cold_gets_nothing_for_a_moment():
     # Gateways that learn of it later have sent it their usual share in this second.
     fleet = make_fleet(make_server("a"))
