--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -77,12 +77,12 @@
         have used up the limit of this second. A late word on the end of the warm-up changes
         nothing of that.
         """
-        self._stop_usual_share(until, now)
+        self._stop_usual_share(until, now, presumed=False)
         self.cold_until = max(self.cold_until, until)
 
     def presume_cold(self, until: float, now: float) -> None:
         """Count the server as cold, since another gateway could not reach it."""
-        self._stop_usual_share(until, now)
+        self._stop_usual_share(until, now, presumed=True)
         self.presumed_cold_until = max(self.presumed_cold_until, until)
 
     def end_presumption(self, now: float) -> None:
@@ -91,10 +91,16 @@
         if not self.is_cold(now):
             self.resumes_at = 0.0
 
-    def _stop_usual_share(self, until: float, now: float) -> None:
+    def _stop_usual_share(self, until: float, now: float, *, presumed: bool) -> None:
         wait_s = COLD_WINDOW_S * ARRIVAL_RESERVE
         if self.gets_usual_share(now) and until - now > wait_s:
             self.resumes_at = now + wait_s
+            log.info(
+                "server counts as cold",
+                server=self.entry.server,
+                cold_s=round(until - now, 3),
+                presumed=presumed,
+            )
 
     def begin_pause(self, pause_s: float, now: float) -> None:
         """Send nothing to the server for ``pause_s`` seconds, then increase the rate slowly."""
