--- a/knapweeddock/codes.py
+++ b/knapweeddock/codes.py
@@ -38,6 +38,7 @@
     SHED = 117
     NO_SITE = 118
     NOT_READY = 119
+    QUARANTINED = 120
 
     SERVER_LOST = 201
     DEADLINE_DURING_RUN = 202
@@ -128,6 +129,9 @@
     ResultCode.SHED: _not_run(503, "The backend servers shed the request."),
     ResultCode.NO_SITE: _not_run(503, "No site can serve the pool."),
     ResultCode.NOT_READY: _not_run(503, "The process has no configuration yet."),
+    ResultCode.QUARANTINED: _not_run(
+        503, "Backend servers have ended while they ran the same request before."
+    ),
     ResultCode.SERVER_LOST: _unknown(
         502, "The connection to the backend server was lost after the request was sent."
     ),
--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 
 from knapweeddock.errors import (
     IncompleteRequest,
@@ -15,6 +16,7 @@
 from knapweeddock.gateway.connectionpool import ConnectionPool
 from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.records import ServerEntry
+from knapweeddock.gateway.requestdigest import request_digest
 from knapweeddock.gateway.serverselection import Selection
 from knapweeddock.gateway.wire import RequestMetadata, ResponseMetadata, WireFormat
 from knapweeddock.http1.client import HttpClientConnection
@@ -26,6 +28,7 @@
     get_header,
 )
 from knapweeddock.http1.server import IncomingRequest
+from knapweeddock.ids import RequestDigest
 
 MAX_BUFFERED_RESPONSE_BYTES = 128 * 1024
 """Responses up to this size in bytes are buffered completely before the first byte
@@ -85,7 +88,7 @@
         return self.outcome in (AttemptOutcome.RESPONSE, AttemptOutcome.LOST)
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(frozen=True, kw_only=True)
 class OutgoingRequest:
     """A request that is forwarded, by one attempt or several.
 
@@ -107,6 +110,13 @@
         body = self.request.body
         return body.complete and body.received_bytes == len(self.buffered_body)
 
+    @cached_property
+    def digest(self) -> RequestDigest:
+        """Digest by which the request is recognized when it comes again."""
+        return request_digest(
+            self.request.head, caller=self.metadata.caller, body=self.buffered_body
+        )
+
 
 class AttemptRunner:
     """Runs attempts: sends requests to servers and reads their responses."""
--- a/knapweeddock/gateway/coldreports.py
+++ b/knapweeddock/gateway/coldreports.py
@@ -11,7 +11,7 @@
 the other one may be cut off from it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -62,10 +62,21 @@
 
 
 class ColdBoard:
-    """The latest word on each server that is or was presumed to be cold."""
+    """The latest word on each server that is or was presumed to be cold.
 
-    def __init__(self, *, fleet: Fleet) -> None:
+    Attributes:
+        fleet: Backend servers.
+        on_end: Called with each server that could no longer be reached, and when.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        on_end: Callable[[ServerId, float], None] = lambda server, at: None,
+    ) -> None:
         self.fleet = fleet
+        self.on_end = on_end
         self._words: dict[ServerId, _Word] = {}
         self._due: DueKeys[ServerId] = DueKeys()
 
@@ -74,6 +85,7 @@
         until = now + PRESUMED_COLD_S
         known = self._words.get(state.entry.server)
         state.presumed_cold_until = max(state.presumed_cold_until, until)
+        self._note_end(state.entry.server, known, now)
         if known is None or known.cold_until < until - RENEWAL_S:
             self._say(state, _Word(cold_until=until, presumed=True, said_at=now))
 
@@ -105,6 +117,8 @@
                 presumed=report.presumed,
                 said_at=said_at,
             )
+            if word.presumed:
+                self._note_end(report.server, known, said_at)
             self._words[report.server] = word
             self._due.add(report.server, FORWARDED_TO[source])
             _apply(state, word, now)
@@ -147,6 +161,11 @@
             if server not in self.fleet.servers or now - word.cold_until > MAX_AGE_S:
                 del self._words[server]
 
+    def _note_end(self, server: ServerId, known: _Word | None, at: float) -> None:
+        """Tell the end of a server that was not known to be away."""
+        if known is None or not known.presumed or known.cold_until <= at:
+            self.on_end(server, at)
+
     def _say(self, state: ServerState, word: _Word) -> None:
         self._words[state.entry.server] = word
         self._due.add(state.entry.server, FORWARDED_TO[Source.OWN])
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -10,11 +10,13 @@
 import structlog
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
+from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
 from knapweeddock.gateway.metrics import NO_ROUTE, GatewayMetrics, RequestLabels
+from knapweeddock.gateway.quarantine import Quarantined, Suspected
 from knapweeddock.gateway.serverselection import Selection
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
+from knapweeddock.ids import ServerId
 
 if TYPE_CHECKING:
     from knapweeddock.gateway.forward import RequestContext
@@ -150,6 +152,48 @@
             **_decision_fields(context, selection),
         )
 
+    def record_suspect(
+        self, context: "RequestContext", outgoing: OutgoingRequest, verdict: Suspected
+    ) -> None:
+        """Record that a request runs although servers have ended under it before."""
+        if self._admit_line():
+            log.info(
+                "suspect request runs",
+                request=context.metadata.request_id,
+                digest=outgoing.digest.hex(),
+                ends=verdict.ends,
+                trial=verdict.is_trial,
+            )
+
+    def record_quarantine(
+        self, context: "RequestContext", outgoing: OutgoingRequest, verdict: Quarantined
+    ) -> None:
+        """Record that a request was refused because servers have ended under it before."""
+        code = ResultCode.QUARANTINED
+        self._count(context.request, context, "refused", code.name.lower())
+        if self._admit_line():
+            log.info(
+                "request refused",
+                request=context.metadata.request_id,
+                code=int(code),
+                reason=code.name.lower(),
+                retry_after_s=round(verdict.retry_after_s, 3),
+                digest=outgoing.digest.hex(),
+                ends=verdict.ends,
+                waiting=verdict.is_waiting,
+                **_decision_fields(context, None),
+            )
+
+    def record_server_end(self, outgoing: OutgoingRequest, server: ServerId) -> None:
+        """Record that a server ended while it ran a request."""
+        if self._admit_line():
+            log.warning(
+                "server ended under a request",
+                request=outgoing.metadata.request_id,
+                digest=outgoing.digest.hex(),
+                server=server,
+            )
+
     def _count(
         self, request: IncomingRequest, context: "RequestContext | None", outcome: str, reason: str
     ) -> None:
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -17,7 +17,9 @@
 )
 from knapweeddock.gateway.attempttracker import AttemptTracker
 from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.probing import Prober
+from knapweeddock.gateway.quarantine import Quarantined, Suspected, Unsuspected
+from knapweeddock.gateway.requestdigest import split_target
+from knapweeddock.gateway.requestguard import RequestGuard
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.serverselection import (
@@ -74,6 +76,8 @@
         deadline: Monotonic time at which the request times out.
         tried: Servers selected so far, including unreachable ones.
         sent_attempts: Number of attempts that reached a server.
+        is_suspect: Whether servers have ended under the same request before, so that it is not
+            sent to another one if its server ends.
         response_lost: Whether the request may have run at a server whose response
             was lost.
         fallback_response: A server's error response after which a retry was allowed.
@@ -88,6 +92,7 @@
     deadline: float
     tried: list[ServerId]
     sent_attempts: int = 0
+    is_suspect: bool = False
     response_lost: bool = False
     fallback_response: AttemptResult | None = None
 
@@ -109,7 +114,7 @@
         server_selector: ServerSelector,
         attempt_tracker: AttemptTracker,
         decision_log: DecisionLog,
-        prober: Prober,
+        request_guard: RequestGuard,
     ) -> None:
         self.routing_state = routing_state
         self.wire = wire
@@ -117,7 +122,7 @@
         self.server_selector = server_selector
         self.attempt_tracker = attempt_tracker
         self.decision_log = decision_log
-        self.prober = prober
+        self.request_guard = request_guard
         self.reject_new_requests = False
 
     async def handle(self, request: IncomingRequest) -> None:
@@ -188,6 +193,19 @@
             buffered_body=buffered_body,
             idempotent=context.route.idempotent,
         )
+        match self.request_guard.judge(outgoing, time.monotonic()):
+            case Unsuspected():
+                await self._try_servers(context, outgoing)
+            case Suspected() as verdict:
+                context.is_suspect = True
+                self.decision_log.record_suspect(context, outgoing, verdict)
+                with self.request_guard.running(outgoing):
+                    await self._try_servers(context, outgoing)
+            case Quarantined() as verdict:
+                self._refuse_suspect(context, outgoing, verdict)
+
+    async def _try_servers(self, context: RequestContext, outgoing: OutgoingRequest) -> None:
+        """Send the request to one server after the other until there is a response for it."""
         while True:
             now = time.monotonic()
             selection_request = SelectionRequest(
@@ -196,6 +214,7 @@
                 key=context.metadata.object_key if context.route.affinity else "",
                 remaining_s=context.deadline - now,
                 tried=context.tried,
+                prefers_idle=context.is_suspect,
             )
             selection = self.server_selector.select(selection_request, now)
             if isinstance(selection, Rejection):
@@ -213,7 +232,9 @@
             context.sent_attempts += result.outcome is not AttemptOutcome.UNREACHABLE
             self.attempt_tracker.record_result(context, selection, result, started_at=now)
             if result.connection_lost:
-                self.prober.check_for_end(selection.server)
+                self.request_guard.record_lost_connection(outgoing, selection.server)
+            elif result.outcome is AttemptOutcome.RESPONSE:
+                self.request_guard.record_response(outgoing, time.monotonic())
             if result.outcome is AttemptOutcome.UNREACHABLE:
                 self.attempt_runner.pool.close_idle(selection.server.entry.server)
             will_retry = self._should_retry(context, outgoing, result)
@@ -234,6 +255,8 @@
             return False
         if result.outcome is AttemptOutcome.LOST:
             context.response_lost = True
+        if result.connection_lost and context.is_suspect:
+            return False
         if result.outcome is AttemptOutcome.RESPONSE:
             failed = result.body_complete and result.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             timed_out = failed and result.head.status == HTTPStatus.GATEWAY_TIMEOUT
@@ -331,6 +354,14 @@
             request, metadata, code, retry_after_s, context=context, best=best
         )
 
+    def _refuse_suspect(
+        self, context: RequestContext, outgoing: OutgoingRequest, verdict: Quarantined
+    ) -> None:
+        """Respond that a request has not run because servers have ended under it before."""
+        headers = self.wire.error_headers(context.metadata, retry_after_s=verdict.retry_after_s)
+        context.request.response.send(HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        self.decision_log.record_quarantine(context, outgoing, verdict)
+
     def _respond_error(
         self,
         request: IncomingRequest,
@@ -357,14 +388,9 @@
 
     None if it has neither an absolute target nor exactly one ``Host`` header.
     """
-    target = request.head.target.decode("latin-1")
-    hosts = [value for name, value in request.head.headers if name.lower() == b"host"]
-    if target.startswith(("http://", "https://")):
-        authority, _, path = target.partition("://")[2].partition("/")
-        target = "/" + path
-    elif len(hosts) != 1:
+    target = request.head.target
+    is_absolute = target.startswith((b"http://", b"https://"))
+    if not is_absolute and sum(name.lower() == b"host" for name, _ in request.head.headers) != 1:
         return None
-    else:
-        authority = hosts[0].decode("latin-1")
-    host = authority.strip().lower().partition(":")[0]
-    return host, target.partition("?")[0]
+    authority, path = split_target(request.head)
+    return authority.partition(":")[0], path.partition("?")[0]
--- a/knapweeddock/gateway/metrics.py
+++ b/knapweeddock/gateway/metrics.py
@@ -49,6 +49,7 @@
         gateways_alive: Other gateways with a recent heartbeat.
         server_connections_opened: Connections opened to servers since the start.
         probes_sent: Probes sent since the start.
+        suspects: Number of requests under which servers have ended, by how they are treated.
         retries_left: Retries that the retry budget allows now, by service.
         suppressed_lines: Log lines about requests that the rate limit suppressed.
         stalled_s: Total time in seconds since the start in which the process did
@@ -64,6 +65,7 @@
     gateways_alive: int
     server_connections_opened: int
     probes_sent: int
+    suspects: dict[str, int]
     retries_left: dict[str, int]
     suppressed_lines: int
     stalled_s: float
@@ -107,6 +109,9 @@
             "knapweed_server_connections_opened", "Connections opened to servers."
         )
         self.probes = process.gauge("knapweed_probes", "Probes sent to servers.")
+        self.suspects = process.gauge(
+            "knapweed_suspect_requests", "Requests under which servers have ended, by treatment."
+        )
         self.retries = process.gauge(
             "knapweed_retries_left", "Retries that the budget allows, by service."
         )
@@ -163,6 +168,8 @@
         self.gateways_alive.set({}, values.gateways_alive)
         self.server_connections_opened.set({}, values.server_connections_opened)
         self.probes.set({}, values.probes_sent)
+        for treatment, count in values.suspects.items():
+            self.suspects.set({"treatment": treatment}, count)
         for service, retries_left in values.retries_left.items():
             self.retries.set({"service": service}, retries_left)
         self.suppressed_lines.set({}, values.suppressed_lines)
--- a/knapweeddock/gateway/notices.py
+++ b/knapweeddock/gateway/notices.py
@@ -8,6 +8,7 @@
 
 from knapweeddock.gateway.coldreports import ColdBoard, ColdReport
 from knapweeddock.gateway.duekeys import Direction, Source
+from knapweeddock.gateway.suspectboard import SuspectBoard, SuspectReport
 from knapweeddock.ids import RegionId
 
 
@@ -16,14 +17,16 @@
 
     Attributes:
         cold: Servers that are cold or may be.
+        suspects: Requests under which servers have ended.
     """
 
     cold: list[ColdReport] = []
+    suspects: list[SuspectReport] = []
 
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to tell."""
-        return not self.cold
+        return not self.cold and not self.suspects
 
 
 class NoticeDatagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="notices"):
@@ -43,27 +46,34 @@
 
     Attributes:
         cold: Servers that are cold or may be.
+        suspects: Requests under which servers have ended.
     """
 
-    def __init__(self, *, cold: ColdBoard) -> None:
+    def __init__(self, *, cold: ColdBoard, suspects: SuspectBoard) -> None:
         self.cold = cold
+        self.suspects = suspects
 
     def take(self, direction: Direction, now: float) -> Notices:
         """Return the notices that are due in a direction."""
-        return Notices(cold=self.cold.take(direction, now))
+        return Notices(
+            cold=self.cold.take(direction, now), suspects=self.suspects.take(direction, now)
+        )
 
     def current(self, now: float) -> Notices:
         """Return all that holds now, for a gateway that knows nothing yet."""
-        return Notices(cold=self.cold.current(now))
+        return Notices(cold=self.cold.current(now), suspects=self.suspects.current(now))
 
     def merge(self, notices: Notices, now: float, source: Source) -> None:
         """Apply the notices of another gateway."""
         self.cold.merge(notices.cold, now, source)
+        self.suspects.merge(notices.suspects, now, source)
 
     def drop(self, direction: Direction) -> None:
         """Forget what is due in a direction in which nobody is to be told."""
         self.cold.drop(direction)
+        self.suspects.drop(direction)
 
-    def forget_past(self, now: float) -> None:
-        """Forget what no longer holds."""
+    def update(self, now: float) -> None:
+        """Decide what follows from the evidence, and forget what no longer holds."""
         self.cold.forget_past(now)
+        self.suspects.update(now)
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -128,6 +128,7 @@
         if self.is_subscribed():
             board.drop(Direction.TO_OTHER_REGIONS)
             return
+        board.suspects.announce(now)
         far = board.take(Direction.TO_OTHER_REGIONS, now)
         near = board.take(Direction.TO_RELAY, now)
         if self.is_relay():
--- a/knapweeddock/gateway/quotamembers.py
+++ b/knapweeddock/gateway/quotamembers.py
@@ -70,6 +70,10 @@
         """Return the gateways that may send requests to the servers of ``region``."""
         return list(self._last_seen.get(region, ()))
 
+    def all_vms(self) -> list[VmId]:
+        """Return the gateways of all regions."""
+        return sorted({vm for vms in self._last_seen.values() for vm in vms})
+
     def count(self) -> int:
         """Return the number of gateways of all regions, at least 1."""
         return max(1, sum(len(vms) for vms in self._last_seen.values()))
--- /dev/null
+++ b/knapweeddock/gateway/requestguard.py
@@ -0,0 +1,81 @@
+"""Keeps requests that end servers from running again, with the evidence of all gateways."""
+
+import asyncio
+import time
+from collections.abc import Callable, Collection
+from contextlib import AbstractContextManager
+
+from knapweeddock.gateway.attempt import OutgoingRequest
+from knapweeddock.gateway.decisionlog import DecisionLog
+from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.probing import Prober
+from knapweeddock.gateway.quarantine import Unsuspected, Verdict, judge
+from knapweeddock.gateway.records import ServerPhase
+from knapweeddock.gateway.suspectboard import SuspectBoard
+from knapweeddock.ids import VmId
+
+
+class RequestGuard:
+    """Judges requests before they run, and learns from how they end.
+
+    Attributes:
+        vm: VM of this gateway.
+        board: Requests under which servers have ended.
+        fleet: Backend servers.
+        prober: Finds out whether a server has ended.
+        gateway_vms: Returns all gateways, among which trials are shared out.
+        decision_log: Log of decisions about requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: VmId,
+        board: SuspectBoard,
+        fleet: Fleet,
+        prober: Prober,
+        gateway_vms: Callable[[], Collection[VmId]],
+        decision_log: DecisionLog,
+    ) -> None:
+        self.vm = vm
+        self.board = board
+        self.fleet = fleet
+        self.prober = prober
+        self.gateway_vms = gateway_vms
+        self.decision_log = decision_log
+
+    def judge(self, outgoing: OutgoingRequest, now: float) -> Verdict:
+        """Decide whether a request may run. The digest is only made if any is suspected."""
+        if self.board.is_empty:
+            return Unsuspected()
+        suspect = self.board.find(outgoing.digest, now)
+        if suspect is None:
+            return Unsuspected()
+        return judge(outgoing.digest, suspect, vm=self.vm, gateway_vms=self.gateway_vms(), now=now)
+
+    def running(self, outgoing: OutgoingRequest) -> AbstractContextManager[None]:
+        """Count a run of a suspect while the block runs."""
+        return self.board.running(outgoing.digest)
+
+    def record_lost_connection(self, outgoing: OutgoingRequest, server: ServerState) -> None:
+        """Find out whether a server ended while it ran a request, and remember that.
+
+        A server that was leaving may end under any request.
+        """
+        check = self.prober.check_for_end(server)
+        if server.entry.phase is ServerPhase.READY and not server.is_leaving:
+            check.add_done_callback(lambda done: self._record_end(done, outgoing, server))
+
+    def _record_end(
+        self, check: asyncio.Task[bool], outgoing: OutgoingRequest, server: ServerState
+    ) -> None:
+        is_registered = self.fleet.servers.get(server.entry.server) is server
+        if check.cancelled() or not check.result() or not is_registered:
+            return
+        self.board.record_end(outgoing.digest, server.entry.server, time.monotonic())
+        self.decision_log.record_server_end(outgoing, server.entry.server)
+
+    def record_response(self, outgoing: OutgoingRequest, now: float) -> None:
+        """Record that a request ran to a response."""
+        if not self.board.is_empty:
+            self.board.record_response(outgoing.digest, now)
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -69,6 +69,9 @@
 an uncached object takes several times as long, which does not mean that the server is
 slow."""
 
+MAX_IDLE_REQUESTS = 0.5
+"""Expected number of requests below which a server counts as idle."""
+
 MAX_CACHED_RANKINGS = 20_000
 """Number of cached server rankings above which all are dropped. They are also dropped
 when the set of servers changes."""
@@ -84,6 +87,8 @@
         key: Object that the request concerns, for cache affinity; "" if there is none.
         remaining_s: Seconds until the deadline, after which nobody waits for the response.
         tried: Servers to which the request was already sent.
+        prefers_idle: Whether a server that runs nothing else is preferred, since the request
+            may end it.
     """
 
     route: Route
@@ -91,6 +96,7 @@
     key: str
     remaining_s: float
     tried: Collection[ServerId] = field(default=frozenset())
+    prefers_idle: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -200,6 +206,10 @@
     def _best(
         self, request: SelectionRequest, regions: list[RegionId], now: float
     ) -> Selection | None:
+        if request.prefers_idle:
+            idle = self._idle_server(request, regions, now)
+            if idle is not None:
+                return idle
         home_region = self._home_region(request, regions)
         best = self._best_in_region(request, home_region, now, is_home_region=True)
         if best is None or self._should_try_other_regions(request, best):
@@ -223,6 +233,18 @@
         self.shift_limit.record(request.service, remote=selection.remote, now=now)
         return sent
 
+    def _idle_server(
+        self, request: SelectionRequest, regions: list[RegionId], now: float
+    ) -> Selection | None:
+        """Return a server of this gateway's region that runs nothing, as far as is known."""
+        if self.region not in regions:
+            return None
+        for server in self._ranked_servers(request, self.region):
+            is_idle = server.load.total_requests(now) < MAX_IDLE_REQUESTS
+            if is_idle and self._is_eligible(server, request, now):
+                return self._estimate(request, server, now, preferred_rank=None)
+        return None
+
     # Regions
 
     def _allowed_regions(self, request: SelectionRequest) -> list[RegionId]:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -31,6 +31,7 @@
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
+from knapweeddock.gateway.requestguard import RequestGuard
 from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
@@ -40,6 +41,7 @@
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import StoreClient, Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
+from knapweeddock.gateway.suspectboard import SuspectBoard
 from knapweeddock.gateway.updatesource import UpdateSource
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.messages import get_header_text
@@ -99,8 +101,11 @@
         self.metrics = GatewayMetrics(vm=settings.vm)
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
-        self.cold_board = ColdBoard(fleet=self.routing_state.fleet)
-        self.notice_board = NoticeBoard(cold=self.cold_board)
+        suspects = SuspectBoard()
+        self.cold_board = ColdBoard(
+            fleet=self.routing_state.fleet, on_end=suspects.record_server_end
+        )
+        self.notice_board = NoticeBoard(cold=self.cold_board, suspects=suspects)
         self.prober = Prober(
             routing_state=self.routing_state, wire=wire, cold_board=self.cold_board
         )
@@ -226,7 +231,14 @@
             server_selector=server_selector,
             attempt_tracker=self.attempt_tracker,
             decision_log=self.decision_log,
-            prober=self.prober,
+            request_guard=RequestGuard(
+                vm=self.settings.vm,
+                board=self.notice_board.suspects,
+                fleet=self.routing_state.fleet,
+                prober=self.prober,
+                gateway_vms=self.quota_members.all_vms,
+                decision_log=self.decision_log,
+            ),
         )
 
     def _build_listeners(self) -> None:
@@ -338,7 +350,7 @@
             self.routing_state.maintain()
             self.feed.liveness.drop_silent(now)
             self._update_quota_members(now)
-            self.notice_board.forget_past(now)
+            self.notice_board.update(now)
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
@@ -421,6 +433,7 @@
                 gateways_alive=len(self.feed.liveness.live_members(now)),
                 server_connections_opened=self.connection_pool.connections_opened,
                 probes_sent=self.prober.probes_sent,
+                suspects=self.notice_board.suspects.counts(),
                 retries_left=self.attempt_tracker.remaining_retries(),
                 suppressed_lines=self.decision_log.suppressed_lines,
                 stalled_s=self.stall_watch.stalled_s,
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -21,11 +21,13 @@
             the client is another request.
         timeout_s: Time in seconds for which the client waits; None when not specified.
         object_key: Key of the object that the request is about, or "".
+        caller: Who sends the request, as far as servers can tell from its headers.
     """
 
     request_id: str
     timeout_s: float | None = None
     object_key: str = ""
+    caller: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/knapweeddock/ids.py
+++ b/knapweeddock/ids.py
@@ -21,6 +21,7 @@
 Version = NewType("Version", int)
 Revision = NewType("Revision", int)
 Era = NewType("Era", int)
+RequestDigest = NewType("RequestDigest", bytes)
 
 
 def new_id() -> str:
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -60,6 +60,9 @@
 SET_ANEW = frozenset({DEADLINE_MS, EXPECTED_SERVER, b"content-length", b"expect"})
 """Request headers that are written for each server."""
 
+CALLER_HEADERS = frozenset({b"authorization", b"cookie"})
+"""Request headers that tell who sends a request."""
+
 KEPT_FROM_CLIENTS = frozenset({b"content-length", LOAD, NOT_RUN, LEAVING, LIMIT})
 """Response headers that concern the gateway only."""
 
@@ -80,6 +83,7 @@
             request_id=get_header_text(head.headers, REQUEST_ID),
             timeout_s=_milliseconds(head.headers, DEADLINE_MS),
             object_key=get_cookie(head.headers, OBJECT_COOKIE),
+            caller=_caller(head.headers),
         )
 
     def forwarded_request_headers(
@@ -177,6 +181,11 @@
         return head.method == b"GET" and head.target.partition(b"?")[0] == READY_PATH.encode()
 
 
+def _caller(headers: Headers) -> bytes:
+    """Return the headers by which servers can tell callers apart."""
+    return b"\n".join(value for name, value in headers if name.lower() in CALLER_HEADERS)
+
+
 def _milliseconds(headers: Headers, name: bytes) -> float | None:
     """Return a header that holds a whole number of milliseconds in seconds, or None."""
     text = get_header_text(headers, name)
--- a/knapweeddock/render.py
+++ b/knapweeddock/render.py
@@ -225,6 +225,7 @@
     for title, lines in (
         ("what the gateway believed", story.beliefs),
         ("servers that were tried", story.servers),
+        ("servers that ended under the same request", story.evidence),
         ("the request", story.steps),
     ):
         if lines:
--- a/knapweeddock/requeststory.py
+++ b/knapweeddock/requeststory.py
@@ -41,10 +41,15 @@
         "server names a limit",
         "server not back",
         "server back",
+        "server counts as cold",
         "server has ended",
     }
 )
 
+EVIDENCE_EVENTS = frozenset(
+    {"server ended under a request", "request quarantined", "request cleared"}
+)
+
 COMMON_FIELDS = frozenset({"event", "timestamp", "vm", "level", "process"})
 """Fields that are not repeated behind each line of a story."""
 
@@ -85,6 +90,8 @@
         vm: Gateway that handled it.
         beliefs: Latest lines of that gateway before it, one per kind.
         servers: Latest line about each server that was tried.
+        evidence: Lines of all gateways about servers that ended under the same request, in
+            attempts before it.
         steps: Lines of the request itself.
         code: Always ``OK``; a request without lines is raised.
     """
@@ -93,6 +100,7 @@
     vm: str
     beliefs: list[LogLine] = field(default_factory=list)
     servers: list[LogLine] = field(default_factory=list)
+    evidence: list[LogLine] = field(default_factory=list)
     steps: list[LogLine] = field(default_factory=list)
     code: ResultCode = ResultCode.OK
 
@@ -153,6 +161,7 @@
     vm = steps[0].vm
     before = [line for line in ordered if line.vm == vm and line.at <= steps[0].at]
     tried = _servers_of(steps)
+    digests = {line.fields["digest"] for line in steps if "digest" in line.fields}
     around = [line for line in ordered if line.vm == vm and line.event in SERVER_EVENTS]
     return RequestStory(
         request=request,
@@ -163,6 +172,11 @@
             if (line := _latest(before, kind)) is not None
         ],
         servers=[line for line in around if line.fields.get("server") in tried],
+        evidence=[
+            line
+            for line in ordered
+            if line.event in EVIDENCE_EVENTS and line.fields.get("digest") in digests
+        ],
         steps=steps,
     )
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -22,6 +22,7 @@
 from knapweeddock.gateway.storecache import Update
 from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.suspectboard import SuspectBoard
 
 SERVICE = "ledger"
 REGION = "north"
@@ -98,7 +99,7 @@
 def make_feed(vm: str, *, region: str = REGION, **changes) -> RegionFeed:
     values = {
         "report_board": ReportBoard(fleet=Fleet()),
-        "notice_board": NoticeBoard(cold=ColdBoard(fleet=Fleet())),
+        "notice_board": NoticeBoard(cold=ColdBoard(fleet=Fleet()), suspects=SuspectBoard()),
         "own_heartbeat": lambda: make_heartbeat(vm, region=region),
         "region_sizes": lambda: {region: 1},
     }
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -3,9 +3,14 @@
 Guards against a gateway that sends such a request to one server after the other.
 """
 
+import asyncio
+
 import pytest
 
+from knapweeddock.gateway.records import ServerPhase
+from standins.platformserver import ServerFault
 from tests.platform.world import World, running_world
+from tests.waiting import until
 
 MAX_FURTHER_TRIES = 3
 """How often such a request may reach servers after three of them have ended."""
@@ -44,3 +49,60 @@
         assert float(replies[-1].headers["retry-after"]) > 0
         other = await world.ask("/read/other", request_id="innocent")
         assert other.status == 200
+
+
+async def test_other_requests_to_the_same_path_are_served(settings_path):
+    # Only path, caller and body together make the request that ends servers.
+    request_ids = [f"q{index}" for index in range(10)]
+    async with running_world(settings_path, servers=12) as world:
+        end_servers_under(world, request_ids)
+        for request_id in request_ids:
+            await world.ask("/book/a", method="POST", request_id=request_id, body=b"worst")
+        replies = [
+            await world.ask("/book/a", method="POST", request_id="body", body=b"good"),
+            await world.ask("/book/a", method="POST", request_id="caller", body=b"worst", key="9"),
+            await world.ask("/book/b", method="POST", request_id="path", body=b"worst"),
+        ]
+        assert [reply.status for reply in replies] == [200, 200, 200]
+
+
+async def test_request_that_was_lost_with_a_server_is_served_when_it_comes_again(settings_path):
+    # It was there when the server ended for another reason.
+    async with running_world(settings_path, servers=4) as world:
+        end_servers_under(world, ["first"])
+        assert (await world.ask("/book/a", method="POST", request_id="first")).status == 502
+        board = world.gateway.notice_board.suspects
+        await until(lambda: not board.is_empty)
+        for index in range(5):
+            reply = await world.ask("/book/a", method="POST", request_id=f"again{index}")
+            assert reply.status == 200
+        assert board.counts() == {"suspected": 0, "quarantined": 0}
+
+
+async def test_request_that_is_only_broken_off_is_not_suspected(settings_path):
+    # The server lives: it spoils responses, or the connection was reset on the way.
+    async with running_world(settings_path, servers=2) as world:
+        for server in world.servers.values():
+            server.fault = ServerFault.RESET_AFTER_RUN
+        for index in range(6):
+            await world.ask("/book/a", method="POST", request_id=f"q{index}")
+        assert world.gateway.notice_board.suspects.is_empty
+        assert len(world.ran()) == 6
+
+
+async def test_server_that_leaves_ends_under_no_request(settings_path):
+    # A rolling release ends servers while they finish what they have.
+    async with running_world(settings_path, servers=3) as world:
+        for server in world.servers.values():
+            server.work_s = 0.5
+        asking = asyncio.create_task(world.ask("/book/a", method="POST", request_id="last"))
+        await until(world.ran)
+        server = next(each for each in world.servers.values() if each.ran)
+        entry = server.entry(world.addresses[server.name], "north-a", "ledger")
+        world.store.put("servers", server.name, {**entry, "State": "draining"})
+        states = world.gateway.routing_state.fleet.servers
+        await until(lambda: states[server.name].entry.phase is ServerPhase.DRAINING)
+        server.end()
+        assert (await asking).status == 502
+        await until(lambda: not states[server.name].health.is_usable())
+        assert world.gateway.notice_board.suspects.is_empty
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -79,3 +79,21 @@
     assert [line.fields["version"] for line in in_force] == [7]
     assert "knapweed_config_version" in metrics
     assert "knapweed_store_age_seconds" in metrics
+
+
+async def test_refused_because_servers_ended_under_the_same_request(tmp_path, logs):
+    async with running_world(tmp_path / "boot.toml", servers=6) as world:
+        for server in world.servers.values():
+            server.on_run = lambda server, request, _: request.startswith("q") and server.end()
+        for index in range(5):
+            await world.ask("/book/a", method="POST", request_id=f"q{index}")
+        metrics = await metrics_of(world)
+    story = story_of("q4", logs)
+    (refusal,) = story.steps
+    assert (refusal.event, refusal.fields["reason"]) == ("request refused", "quarantined")
+    assert refusal.fields["ends"] == 3
+    ends = [line for line in story.evidence if line.event == "server ended under a request"]
+    assert [line.fields["request"] for line in ends] == ["q0", "q1", "q2"]
+    assert "request quarantined" in [line.event for line in story.evidence]
+    assert 'reason="quarantined"' in metrics
+    assert 'knapweed_suspect_requests{process="knapweed-gateway",treatment="quarantined"' in metrics
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -23,7 +23,18 @@
             (b"Cookie", b"other=1; Affinity-Key=17"),
         )
     )
-    assert facts == RequestMetadata(request_id="9c41", timeout_s=2.0, object_key="17")
+    assert facts == RequestMetadata(
+        request_id="9c41", timeout_s=2.0, object_key="17", caller=b"other=1; Affinity-Key=17"
+    )
+
+
+def test_caller_is_what_servers_can_tell_callers_apart_by():
+    # Attempts of the same request differ in their identifier and deadline.
+    headers = [(b"Authorization", b"token"), (b"Cookie", b"a=1")]
+    first = WIRE.parse_request(request(*headers, (b"Request-Id", b"1"), (b"Deadline-Ms", b"9")))
+    again = WIRE.parse_request(request(*headers, (b"Request-Id", b"2")))
+    assert first.caller == again.caller == b"token\na=1"
+    assert WIRE.parse_request(request(headers[0])).caller == b"token"
 
 
 def test_malformed_budget_counts_as_none():
