--- a/knapweeddock/http1/client.py
+++ b/knapweeddock/http1/client.py
@@ -19,6 +19,13 @@
 READ_AHEAD_BYTES = 256 * 1024
 """Unread bytes of a response body above which the connection stops reading from its socket."""
 
+MAX_FRAMING_BYTES = 64 * 1024
+"""Received bytes without any part of a body after which a response is given up: those of a
+head with the interim responses before it, of a chunk's line, or of trailers."""
+
+MAX_SKIPPED_BYTES = 8 * 1024 * 1024
+"""Body bytes of responses to earlier requests that are skipped before a response."""
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -84,6 +91,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._skipping_response = False
         self._framing = BodyFraming.NONE
 
@@ -205,13 +214,11 @@
             enable_tcp_keepalive(sock)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; bytes outside an exchange abort the connection."""
+        """Parse received bytes; those that belong to no request abort the connection."""
         if not self._in_exchange or self.complete:
-            # These bytes belong to no request, so the connection must not be reused.
-            self._persistent = False
-            if not self._in_exchange:
-                self.abort()
+            self.abort()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -219,10 +226,21 @@
             if not self.complete:
                 message = f"{self.address[0]}:{self.address[1]}: {error}"
                 self._error = MalformedResponse(message)
+        self._give_up_without_end()
         if self._buffered_bytes > READ_AHEAD_BYTES and not self.complete:
             self.transport.pause_reading()
         self._wake_reader()
 
+    def _give_up_without_end(self) -> None:
+        """Abort the connection if what arrives seems to be no response and to have no end."""
+        too_long = self._framing_bytes > MAX_FRAMING_BYTES
+        if self.complete or not (too_long or self._skipped_bytes > MAX_SKIPPED_BYTES):
+            return
+        if self._error is None:
+            message = f"{self.address[0]}:{self.address[1]}: bytes without end are no response"
+            self._error = MalformedResponse(message)
+        self.abort()
+
     def eof_received(self) -> bool:
         """Let the transport close itself; ``connection_lost`` is called next."""
         return False
@@ -262,8 +280,9 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header of the response."""
-        self._headers.append((name, value))
+        """Add a header of the response; trailers are not used."""
+        if self.head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Store the head, or skip an interim response or one that belongs to another request."""
@@ -310,7 +329,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
-        if not self._skipping_response and not self.complete:
+        self._framing_bytes = 0
+        if self._skipping_response:
+            self._skipped_bytes += len(data)
+        elif not self.complete:
             self._chunks.append(data)
             self._buffered_bytes += len(data)
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -5,7 +5,12 @@
 import pytest
 
 from knapweeddock.errors import IncompleteResponse, MalformedResponse, PeerUnavailable
-from knapweeddock.http1.client import HttpClientConnection, connect
+from knapweeddock.http1.client import (
+    MAX_SKIPPED_BYTES,
+    READ_AHEAD_BYTES,
+    HttpClientConnection,
+    connect,
+)
 from tests.http1.scripted import read_head, respond_with, scripted_server
 from tests.waiting import until
 
@@ -179,3 +184,89 @@
         address = sock.getsockname()
     with pytest.raises(PeerUnavailable):
         await connect(address, timeout_s=1.0)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+OTHER_RESPONSE = make_response(b"x" * 1000, request_id=b"other")
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"HTTP/1.1 200 ", b"O" * 1000),
+        (b"HTTP/1.1 200 OK\r\nX: ", b"y" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"X: " + b"y" * 1000 + b"\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", OTHER_RESPONSE),
+        (CHUNKED + b"1;", b"y" * 1000),
+        (CHUNKED + b"0\r\n", b"X: " + b"y" * 1000 + b"\r\n"),
+    ],
+    ids=["reason", "header", "headers", "interim", "other response", "extension", "trailers"],
+)
+async def test_bytes_without_end_that_are_no_response_end_the_exchange(start, repeated):
+    # They would fill the memory of the process until the deadline of the request.
+    sent_bytes = 0
+
+    async def script(reader, writer):
+        nonlocal sent_bytes
+        await read_head(reader)
+        writer.write(start)
+        while True:
+            writer.write(repeated)
+            sent_bytes += len(repeated)
+            await writer.drain()
+
+    async with scripted_server(script) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST, echoed_header=ECHOED_HEADER)
+        with pytest.raises(MalformedResponse):
+            await connection.read_head()
+            await read_body(connection)
+        await until(lambda: connection.closed)
+        assert not connection.reusable
+    assert sent_bytes < MAX_SKIPPED_BYTES + 16 * 1024 * 1024
+
+
+async def test_bytes_without_end_after_a_response_do_not_delay_it():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(make_response(b"ok"))
+        while True:
+            writer.write(b"z" * 1000)
+            await writer.drain()
+
+    async with scripted_server(script) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST, echoed_header=ECHOED_HEADER)
+        await connection.read_head()
+        # It is closed at once, not when a slow client has read the response.
+        await until(lambda: connection.closed)
+        assert await read_body(connection) == b"ok"
+        connection.finish_exchange()
+        assert not connection.reusable
+
+
+async def test_large_late_response_to_an_earlier_request_is_still_skipped():
+    late_response = make_response(b"x" * 1_000_000, request_id=b"earlier")
+    async with scripted_server(respond_with(late_response + make_response(b"own"))) as address:
+        connection = await connect(address, timeout_s=1.0)
+        assert await exchange(connection) == b"own"
+
+
+async def test_body_without_end_is_read_no_faster_than_it_is_wanted():
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            writer.write(b"z" * 10_000)
+            await writer.drain()
+
+    async with scripted_server(script) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST)
+        await connection.read_head()
+        for _ in range(100):
+            assert await connection.read()
+            await asyncio.sleep(0)
+        assert connection._buffered_bytes <= 4 * READ_AHEAD_BYTES
+        connection.abort()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -5,6 +5,7 @@
 
 from standins import documents
 from standins.platformserver import ServerFault
+from tests.http1.scripted import read_head, scripted_server
 from tests.platform.world import read_reply, request_bytes, running_world
 from tests.waiting import until
 
@@ -311,3 +312,24 @@
         reply = await world.ask("/read/a")
         assert reply.status == 200
         assert reply.headers["connection"] == "close"
+
+
+async def test_server_that_sends_bytes_without_end_is_passed_over(settings_path):
+    # The gateway would read until the deadline and run out of memory.
+    async def script(reader, writer):
+        await read_head(reader)
+        while True:
+            writer.write(b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 1000)
+            await writer.drain()
+
+    async with running_world(settings_path, servers=2) as world, scripted_server(script) as address:
+        entry = world.servers["i-0"].entry(address, "north-a", "ledger")
+        world.store.put("servers", "i-0", {**entry, "born": entry["born"] + 1})
+        states = world.gateway.routing_state.fleet.servers
+        await until(lambda: states["i-0"].entry.address == address)
+        states["i-0"].cold_until = states["i-0"].resumes_at = 0.0
+        replies = [
+            await world.ask("/read/a", request_id=f"q{index}", key=str(index))
+            for index in range(10)
+        ]
+        assert {reply.status for reply in replies} == {200}
