--- a/soak/injection.py
+++ b/soak/injection.py
@@ -1,12 +1,13 @@
 """Carries single faults out on a deployment."""
 
 import asyncio
+import time
 
 from soak import faults
 from soak.deployment import DOMAINS, LAPSE_S, WARMUP_S, Deployment, ServerHost
 from soak.faults import Fault
 from soak.links import Link, LinkFault
-from soak.observations import Observations
+from soak.observations import ColdStart, Observations
 from soak.promises import SETTLED_S
 from standins.metastore import StoreFault
 from standins.platformserver import ServerFault
@@ -136,6 +137,7 @@
             renamed = f"{name.partition('.')[0]}.{host.starts}"
             await host.start(name=renamed if fault.renamed else name, port=port)
             host.cold = True
+            deployment.seen.cold_starts.append(_cold_start(host))
             host.link.disturb(LinkFault.NONE)
             deployment.publish_server(host)
         await asyncio.sleep(WARMUP_S)
@@ -143,6 +145,16 @@
         deployment.publish_server(host)
 
 
+def _cold_start(host: ServerHost) -> ColdStart:
+    now = time.monotonic()
+    return ColdStart(
+        server=host.server.name,
+        arrived_at=host.server.arrived_at,
+        began_at=now,
+        ended_at=now + WARMUP_S,
+    )
+
+
 async def _leave_by_response(deployment: Deployment, host: ServerHost, for_s: float) -> None:
     async with host.lock:
         host.server.leaving = True
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -122,6 +122,23 @@
         return is_its and self.began_at <= execution.at <= self.ended_at
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdStart:
+    """Start of a server that is cold for some time.
+
+    Attributes:
+        server: Name of the server.
+        arrived_at: Monotonic times at which requests have arrived since the start.
+        began_at: Monotonic time of the start.
+        ended_at: Monotonic time until which the server is cold.
+    """
+
+    server: str
+    arrived_at: list[float]
+    began_at: float
+    ended_at: float
+
+
 @dataclass(kw_only=True, slots=True)
 class Disturbance:
     """Time within which something was wrong with a part of the deployment."""
@@ -175,6 +192,7 @@
         executions: Runs on servers.
         pauses: Refusals that asked for a pause.
         limits: Limits that servers named.
+        cold_starts: Servers that started cold.
         sends: Number of requests that reached a server, refused ones included.
         disturbances: What was wrong, and when.
         leaves: Servers and failure domains that were leaving.
@@ -188,6 +206,7 @@
     executions: list[Execution] = field(default_factory=list)
     pauses: list[PauseRequest] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    cold_starts: list[ColdStart] = field(default_factory=list)
     sends: int = 0
     disturbances: list[Disturbance] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -50,6 +50,11 @@
 STOP_MARGIN_S = 3.0
 """Time in seconds beyond it that a busy machine may add."""
 
+COLD_WINDOW_S = 1.0
+COLD_LIMIT = 3.5 * 1.5 + 5
+"""Bound on the requests to a cold server in any ``COLD_WINDOW_S`` seconds, as in the settings
+and the configuration."""
+
 RETRY_RATIO = 0.2
 RETRY_SLACK = 62
 RETRY_WINDOW_S = 10.0
@@ -240,6 +245,22 @@
             yield execution.at
 
 
+def cold_servers_are_not_flooded(seen: Observations) -> Iterator[str]:
+    """A server that has just started gets no more than it can take from all gateways together.
+
+    What a link or a stall of the soak holds back arrives at once afterwards.
+    """
+    for start in seen.cold_starts:
+        arrived_at = [at for at in start.arrived_at if start.began_at <= at <= start.ended_at]
+        for begin in arrived_at:
+            end = begin + COLD_WINDOW_S
+            count = sum(begin <= at < end for at in arrived_at)
+            subjects = {start.server, SOAK}
+            if count > COLD_LIMIT and not seen.disturbance_of(subjects, begin, end):
+                yield f"{start.server} got {count} requests in a second while cold"
+                break
+
+
 def retries_stay_within_their_budget(seen: Observations) -> Iterator[str]:
     """Repeated sends of all gateways together are bounded."""
     if not seen.calls:
@@ -296,6 +317,7 @@
     servers_that_announced_to_leave_get_no_requests,
     pauses_are_respected,
     limits_that_servers_name_are_kept,
+    cold_servers_are_not_flooded,
     retries_stay_within_their_budget,
     calm_deployments_serve_everything,
     planned_stops_end_in_time,
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -44,7 +44,7 @@
         ran: Identifiers of the requests that it ran.
         cut: Identifiers of the requests whose connection closed meanwhile.
         headers: Headers of the requests that arrived.
-        arrived_at: Times of the event loop at which they arrived.
+        arrived_at: Times of the event loop at which those that were meant for it arrived.
         bodies: Bodies of the requests that it ran.
         probes: Number of health checks.
         rejects_probes: Whether it is too busy for health checks.
@@ -109,10 +109,10 @@
             return web.Response(headers=health)
         headers = {name: request.headers[name] for name in request.headers}
         self.headers.append(headers)
-        self.arrived_at.append(asyncio.get_running_loop().time())
         expected = request.headers.get("Expected-Instance", self.name)
         if expected != self.name:
             return web.Response(status=421, headers={"Instance-Id": self.name})
+        self.arrived_at.append(asyncio.get_running_loop().time())
         if self.fault is ServerFault.PAUSE:
             headers = {"Not-Executed": "1", "Retry-After": self.retry_after}
             if self.on_pause is not None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,6 +7,7 @@
     SOAK,
     Call,
     Cause,
+    ColdStart,
     Disturbance,
     Execution,
     Leave,
@@ -192,3 +193,13 @@
     assert names(seen(calls, runs, [restarted], limits=[limit])) == []
     not_told = [calls[0], call("q1", sent_at=START + 10, gateway="front-1"), *calls[2:]]
     assert names(seen(not_told, runs, limits=[limit])) == []
+
+
+def test_flood_of_a_cold_server_is_found():
+    arrived_at = [START + 0.09 * index for index in range(11)]
+    start = ColdStart(server="i-0", arrived_at=arrived_at, began_at=START, ended_at=START + 3)
+    assert names(seen(cold_starts=[start])) == ["cold_servers_are_not_flooded"]
+    held_back = disturbance("i-0", start=START, end=START + 0.1)
+    assert names(seen(disturbances=[held_back], cold_starts=[start])) == []
+    del arrived_at[5]
+    assert names(seen(cold_starts=[start])) == []
