--- a/knapweeddock/gateway/records.py
+++ b/knapweeddock/gateway/records.py
@@ -3,7 +3,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from knapweeddock.ids import FailureDomainId, Incarnation, RegionId, ServerId, ServiceId, VmId
+from knapweeddock.ids import (
+    FailureDomainId,
+    Incarnation,
+    RegionId,
+    RequestDigest,
+    ServerId,
+    ServiceId,
+    VmId,
+)
 
 Address = tuple[str, int]
 """Host and port."""
@@ -45,6 +53,32 @@
     started_at_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptEnd:
+    """A server that ended while it ran a request.
+
+    Attributes:
+        server: The server.
+        ended_at_ms: Wall-clock time in ms; clocks of VMs may differ.
+    """
+
+    server: ServerId
+    ended_at_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KeptSuspect:
+    """A refused request, as a gateway keeps it in its registration.
+
+    Attributes:
+        digest: Digest of the request.
+        ends: Servers that ended under it.
+    """
+
+    digest: RequestDigest
+    ends: tuple[KeptEnd, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayEntry:
     """A gateway as it registered itself.
@@ -57,6 +91,8 @@
         front_address: Address for connections of clients.
         peer_address: Address for heartbeats (UDP) and relay subscribers (TCP).
         link_mbps: Bandwidth of its VM's network link in Mbit/s; 0 if it is not known.
+        suspects: Requests that all gateways refuse, kept here for those that start later or
+            reach the store only.
     """
 
     vm: VmId
@@ -66,3 +102,4 @@
     front_address: Address
     peer_address: Address
     link_mbps: float = 0.0
+    suspects: tuple[KeptSuspect, ...] = ()
--- a/knapweeddock/gateway/registrations.py
+++ b/knapweeddock/gateway/registrations.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import time
 from collections.abc import Callable, Collection, Mapping
@@ -15,7 +16,7 @@
 import structlog
 
 from knapweeddock.errors import StoreError
-from knapweeddock.gateway.records import Address, GatewayEntry
+from knapweeddock.gateway.records import Address, GatewayEntry, KeptSuspect
 from knapweeddock.gateway.storecache import Update
 from knapweeddock.gateway.storeclient import StoreClient, Topic
 from knapweeddock.ids import Era, VmId
@@ -32,6 +33,10 @@
 
 CHECK_INTERVAL_S = 30.0
 REGISTER_RETRY_S = 0.5
+
+PREVIOUS_ENTRY_WAIT_S = 0.5
+"""Longest time in seconds for which a gateway that starts again waits for the registration that
+it had before, with what it kept there."""
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -69,6 +74,7 @@
     Attributes:
         own_entry: Entry of this gateway.
         is_new: Whether this gateway has probably never registered before.
+        kept_suspects: Returns the refused requests that this gateway keeps in its registration.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         live_gateways: Callable[[], Collection[VmId]],
         watches_store: Callable[[], bool],
         is_new: bool = False,
+        kept_suspects: Callable[[], tuple[KeptSuspect, ...]] = lambda: (),
         rng: random.Random,
     ) -> None:
         self.own_entry = own_entry
@@ -88,26 +95,48 @@
         self.live_gateways = live_gateways
         self.watches_store = watches_store
         self.is_new = is_new
+        self.kept_suspects = kept_suspects
         self.rng = rng
         self.expiry_tracker = ExpiryTracker()
         self._registered_era: Era | None = None
-        self._lost_in_return = asyncio.Event()
+        self._is_lost_in_return = False
+        self._must_write = asyncio.Event()
+        self._has_list = asyncio.Event()
 
     async def run(self) -> None:
         """Register, then check all registrations until cancelled."""
+        await self._await_previous_entry()
         await self.register()
         while True:
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S * (0.8 + 0.4 * self.rng.random())):
-                    await self._lost_in_return.wait()
+                    await self._must_write.wait()
             except TimeoutError:
                 await self.check(time.monotonic())
             else:
-                await self._restore()
+                await self._write_again()
+
+    async def _await_previous_entry(self) -> None:
+        if self.is_new:
+            return
+        try:
+            async with asyncio.timeout(PREVIOUS_ENTRY_WAIT_S):
+                await self._has_list.wait()
+        except TimeoutError:
+            log.info("registering without the list of gateways", vm=self.own_entry.vm)
+
+    def update_suspects(self) -> None:
+        """Write the registration again if other requests are to be kept than before."""
+        kept = {suspect.digest for suspect in self.kept_suspects()}
+        if kept != {suspect.digest for suspect in self.own_entry.suspects}:
+            self._must_write.set()
 
     def handle_update(self, update: Update) -> None:
         """Note whether a later era of the store lacks this gateway's registration."""
-        if update.topic is not Topic.GATEWAYS or self._registered_era is None:
+        if update.topic is not Topic.GATEWAYS:
+            return
+        self._has_list.set()
+        if self._registered_era is None:
             return
         own_vm = self.own_entry.vm
         if update.position.era <= self._registered_era or not (
@@ -116,19 +145,23 @@
             return
         if update.items.get(own_vm) == self.own_entry:
             self._registered_era = update.position.era
-            self._lost_in_return.clear()
+            self._is_lost_in_return = False
         else:
-            self._lost_in_return.set()
-
-    async def _restore(self) -> None:
-        await asyncio.sleep(RETURN_SPREAD_S * self.rng.random())
-        if self._lost_in_return.is_set():
+            self._is_lost_in_return = True
+            self._must_write.set()
+
+    async def _write_again(self) -> None:
+        if self._is_lost_in_return:
+            await asyncio.sleep(RETURN_SPREAD_S * self.rng.random())
+        self._must_write.clear()
+        if self._is_lost_in_return:
             log.warning("registration lost in the store's return", vm=self.own_entry.vm)
-            await self.register()
+        await self.register()
 
     async def register(self) -> None:
         """Write this gateway's registration, with retries until the store has accepted it."""
         while True:
+            self.own_entry = dataclasses.replace(self.own_entry, suspects=self.kept_suspects())
             try:
                 await self.store_client.register(self.own_entry, is_new=self.is_new)
             except StoreError as error:
@@ -138,7 +171,7 @@
                 log.info("registered", vm=self.own_entry.vm)
                 self.is_new = False
                 self._registered_era = self.store_client.era
-                self._lost_in_return.clear()
+                self._is_lost_in_return = False
                 return
 
     async def check(self, now: float) -> None:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -27,7 +27,7 @@
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.quotamembers import QuotaMembers
-from knapweeddock.gateway.records import GatewayEntry, ServerEntry
+from knapweeddock.gateway.records import GatewayEntry, KeptSuspect, ServerEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
@@ -173,6 +173,7 @@
                 self.update_source.watches_store and self.update_source.source_reachable
             ),
             is_new=self.settings.first_start,
+            kept_suspects=self._kept_suspects,
             rng=self.rng,
         )
         self.store_cache.listeners.append(self.registrations.handle_update)
@@ -263,8 +264,18 @@
         return max(1, policy.max_connections // self.quota_members.count())
 
     def _handle_update(self, update: Update) -> None:
-        if update.topic is Topic.GATEWAYS:
-            self._update_quota_members(time.monotonic())
+        if update.topic is not Topic.GATEWAYS:
+            return
+        now = time.monotonic()
+        self._update_quota_members(now)
+        for entry in update.items.values():
+            if entry is not None and entry.suspects:
+                is_own = entry.vm == self.settings.vm
+                board = self.notice_board.suspects
+                board.restore(entry.suspects, now, _wall_clock_ms(), is_own=is_own)
+
+    def _kept_suspects(self) -> tuple[KeptSuspect, ...]:
+        return self.notice_board.suspects.kept(time.monotonic(), _wall_clock_ms())
 
     def _update_quota_members(self, now: float) -> None:
         self.quota_members.update(self.routing_state.gateways, self.feed.live_members(now), now)
@@ -351,6 +362,7 @@
             self.feed.liveness.drop_silent(now)
             self._update_quota_members(now)
             self.notice_board.update(now)
+            self.registrations.update_suspects()
             self.spillover_controller.update_shares(now)
             self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
@@ -479,6 +491,10 @@
         )
 
 
+def _wall_clock_ms() -> int:
+    return round(time.time() * 1000)
+
+
 @contextlib.asynccontextmanager
 async def _background(*coroutine_functions: Callable[[], object]) -> AsyncIterator[None]:
     """Run coroutine functions beside the block; an error in one cancels the block."""
--- a/knapweeddock/gateway/suspect.py
+++ b/knapweeddock/gateway/suspect.py
@@ -51,6 +51,7 @@
         running: Number of its runs at this gateway.
         is_quarantined: Whether it is refused, but for trials.
         is_settled: Whether that no longer changes before it is cleared.
+        was_quarantined: Whether it has ever been refused.
     """
 
     ends: list[ServerEnd] = field(default_factory=list)
@@ -58,6 +59,7 @@
     running: int = 0
     is_quarantined: bool = False
     is_settled: bool = False
+    was_quarantined: bool = False
 
     def add(self, end: ServerEnd) -> bool:
         """Add an end, and return whether it is new.
--- a/knapweeddock/gateway/suspectboard.py
+++ b/knapweeddock/gateway/suspectboard.py
@@ -19,6 +19,7 @@
 import structlog
 
 from knapweeddock.gateway.duekeys import FORWARDED_TO, Direction, DueKeys, Source
+from knapweeddock.gateway.records import KeptEnd, KeptSuspect
 from knapweeddock.gateway.suspect import (
     MAX_ENDS,
     QUARANTINE_ENDS,
@@ -64,6 +65,9 @@
 
 MAX_ANNOUNCED = 10
 
+MAX_KEPT = 16
+"""Largest number of refused requests that a gateway keeps in its registration."""
+
 
 class EndReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A server that ended while it ran a request.
@@ -103,6 +107,7 @@
         self._server_ends: list[ServerEnd] = []
         self._due: DueKeys[RequestDigest] = DueKeys()
         self._announced_at = float("-inf")
+        self._own: set[RequestDigest] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -114,6 +119,7 @@
     def record_end(self, digest: RequestDigest, server: ServerId, now: float) -> None:
         """Record that a server has ended while it ran a request for this gateway."""
         if self._suspect(digest, now).add(ServerEnd(server=server, at=now)):
+            self._own.add(digest)
             self._due.add(digest, FORWARDED_TO[Source.OWN])
 
     def record_response(self, digest: RequestDigest, now: float) -> None:
@@ -161,6 +167,7 @@
         for digest, suspect in list(self.suspects.items()):
             if self._is_past(suspect, now) and not suspect.running:
                 del self.suspects[digest]
+                self._own.discard(digest)
             else:
                 self._update_quarantine(digest, suspect, now)
 
@@ -188,6 +195,7 @@
         was_quarantined = suspect.is_quarantined
         suspect.is_quarantined = explains_its_ends(suspect, self._ends_without(suspect))
         suspect.is_settled = suspect.is_quarantined and now - suspect.ends[-1].at > SETTLED_AFTER_S
+        suspect.was_quarantined = suspect.was_quarantined or suspect.is_quarantined
         if suspect.is_quarantined and not was_quarantined:
             servers = [end.server for end in suspect.ends]
             log.warning("request quarantined", digest=digest.hex(), servers=servers)
@@ -204,9 +212,63 @@
 
     def _is_past(self, suspect: Suspect, now: float) -> bool:
         last_at = suspect.ends[-1].at if suspect.ends else suspect.cleared_at
-        memory_s = QUARANTINE_MEMORY_S if suspect.is_quarantined else SUSPECT_MEMORY_S
+        # Gateways that are away may still keep one that was cleared in their registrations.
+        memory_s = QUARANTINE_MEMORY_S if suspect.was_quarantined else SUSPECT_MEMORY_S
         return now - last_at > memory_s
 
+    # In the store
+
+    def kept(self, now: float, wall_clock_ms: int) -> tuple[KeptSuspect, ...]:
+        """Return the refused requests of which this gateway keeps the evidence.
+
+        Args:
+            now: Monotonic time in seconds.
+            wall_clock_ms: Wall-clock time in ms.
+        """
+        refused = {
+            digest: self.suspects[digest]
+            for digest in self._own
+            if digest in self.suspects and self.suspects[digest].is_quarantined
+        }
+        latest = sorted(refused, key=lambda digest: (refused[digest].ends[-1].at, digest))
+        return tuple(
+            KeptSuspect(
+                digest=digest,
+                ends=tuple(
+                    KeptEnd(server=end.server, ended_at_ms=wall_clock_ms - _age_ms(end.at, now))
+                    for end in refused[digest].ends
+                ),
+            )
+            for digest in latest[-MAX_KEPT:]
+        )
+
+    def restore(
+        self, kept: Iterable[KeptSuspect], now: float, wall_clock_ms: int, *, is_own: bool
+    ) -> None:
+        """Learn of refused requests that a gateway has kept.
+
+        Args:
+            kept: The requests.
+            now: Monotonic time in seconds.
+            wall_clock_ms: Wall-clock time in ms.
+            is_own: Whether this gateway has kept them, before it started again.
+        """
+        unknown = [
+            SuspectReport(
+                digest=each.digest,
+                ends=[
+                    # Another VM's clock may be ahead of this one.
+                    EndReport(server=end.server, age_ms=max(0, wall_clock_ms - end.ended_at_ms))
+                    for end in each.ends
+                ],
+            )
+            for each in kept
+            if each.digest not in self.suspects
+        ]
+        self.merge(unknown, now, Source.RELAY)
+        if is_own:
+            self._own.update(each.digest for each in unknown if each.digest in self.suspects)
+
     # Sharing
 
     def merge(self, reports: Iterable[SuspectReport], now: float, source: Source) -> None:
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -3,7 +3,15 @@
 from collections.abc import Mapping
 from typing import Any
 
-from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
+import structlog
+
+from knapweeddock.gateway.records import (
+    GatewayEntry,
+    KeptEnd,
+    KeptSuspect,
+    ServerEntry,
+    ServerPhase,
+)
 from knapweeddock.gateway.routes import Route, RoutingConfig, ServicePolicy, WeightedService
 from knapweeddock.gateway.storeclient import StoreObject, Topic
 from knapweeddock.http1.server import ClientLimits
@@ -11,6 +19,7 @@
     FailureDomainId,
     Incarnation,
     RegionId,
+    RequestDigest,
     RouteId,
     ServerId,
     ServiceId,
@@ -28,6 +37,8 @@
     rows,
 )
 
+log = structlog.get_logger(__name__)
+
 KINDS = {
     Topic.CONFIGURATION: "config",
     Topic.SERVERS: "servers",
@@ -74,7 +85,7 @@
 
 def encode_gateway(entry: GatewayEntry) -> dict[str, Any]:
     """Return the content of a gateway's object."""
-    return {
+    content = {
         "incarnation": entry.incarnation,
         "failure_domain": entry.failure_domain,
         "region": entry.region,
@@ -82,6 +93,44 @@
         "peer": address_text(entry.peer_address),
         "link_mbps": entry.link_mbps,
     }
+    if entry.suspects:
+        content["suspects"] = [_encode_suspect(suspect) for suspect in entry.suspects]
+    return content
+
+
+def _encode_suspect(suspect: KeptSuspect) -> dict[str, Any]:
+    return {
+        "digest": suspect.digest.hex(),
+        "ends": {end.server: end.ended_at_ms for end in suspect.ends},
+    }
+
+
+def _suspects(name: str, spec: Mapping[str, Any]) -> tuple[KeptSuspect, ...]:
+    """Return the refused requests that a gateway keeps, without those that cannot be read."""
+    found = []
+    try:
+        for content in optional(spec, "suspects", list, []):
+            found.append(_suspect(content))
+    except DocumentError as error:
+        log.warning("refused requests unreadable", name=name, reason=str(error))
+    return tuple(found)
+
+
+def _suspect(content: object) -> KeptSuspect:
+    if not isinstance(content, Mapping):
+        raise DocumentError("a suspect is no object")
+    ends = field(content, "ends", dict)
+    try:
+        digest = bytes.fromhex(field(content, "digest", str))
+    except ValueError as error:
+        raise DocumentError("a digest is no hexadecimal number") from error
+    return KeptSuspect(
+        digest=RequestDigest(digest),
+        ends=tuple(
+            KeptEnd(server=ServerId(server), ended_at_ms=field(ends, server, int))
+            for server in ends
+        ),
+    )
 
 
 def _gateway(name: str, spec: Mapping[str, Any]) -> GatewayEntry:
@@ -94,6 +143,7 @@
         peer_address=address(spec.get("peer")),
         # Gateways of earlier versions do not write it.
         link_mbps=number(spec, "link_mbps", 0.0),
+        suspects=_suspects(name, spec),
     )
 
 
--- a/tests/gateway/test_suspectboard.py
+++ b/tests/gateway/test_suspectboard.py
@@ -164,3 +164,42 @@
     end_servers(board, 1, number=1)
     board.update(NOW)
     assert board.counts() == {"suspected": 1, "quarantined": 1}
+
+
+def test_gateway_keeps_what_it_has_evidence_of():
+    board, other = SuspectBoard(), SuspectBoard()
+    end_servers(board, 3)
+    end_servers(board, 1, number=1)
+    tell(board, other, Direction.TO_RELAY, Source.SUBSCRIBER)
+    board.update(NOW)
+    other.update(NOW)
+    (kept,) = board.kept(NOW, 1_000_000)
+    assert kept.digest == digest()
+    assert {end.ended_at_ms for end in kept.ends} == {1_000_000}
+    assert other.kept(NOW, 1_000_000) == ()
+
+
+@pytest.mark.parametrize("clock_error_ms", [-2000, 0, 2000])
+def test_gateway_that_starts_again_learns_what_others_have_kept(clock_error_ms):
+    # All gateways may have been killed at once; nothing but the store remembers.
+    board = SuspectBoard()
+    end_servers(board, 3)
+    board.update(NOW)
+    kept = board.kept(NOW, 1_000_000)
+    restarted = SuspectBoard()
+    restarted.restore(kept, 5.0, 1_010_000 + clock_error_ms, is_own=True)
+    assert is_quarantined(restarted, 5.0)
+    assert [each.digest for each in restarted.kept(5.0, 1_010_000)] == [digest()]
+    restarted.restore(kept, 6.0, 1_019_000, is_own=True)
+    assert len(restarted.find(digest(), 6.0).ends) == 3
+
+
+def test_cleared_request_is_not_refused_again_by_an_old_registration():
+    board = SuspectBoard()
+    end_servers(board, 3)
+    board.update(NOW)
+    kept = board.kept(NOW, 1_000_000)
+    board.record_response(digest(), NOW + 1)
+    board.update(NOW + SUSPECT_MEMORY_S + 2)
+    board.restore(kept, NOW + SUSPECT_MEMORY_S + 3, 1_000_000, is_own=False)
+    assert board.find(digest(), NOW + SUSPECT_MEMORY_S + 3) is None
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -106,3 +106,21 @@
         assert (await asking).status == 502
         await until(lambda: not states[server.name].health.is_usable())
         assert world.gateway.notice_board.suspects.is_empty
+
+
+async def test_all_gateways_start_again_while_the_request_comes_on(settings_path):
+    # Their memory is gone with them; only the store knows.
+    async with running_world(settings_path, servers=12) as world:
+        end_servers_under(world, ["q0", "q1", "q2", "q3"])
+        for request_id in ("q0", "q1", "q2"):
+            await world.ask("/book/a", method="POST", request_id=request_id)
+        own = world.gateway.settings.vm
+        await until(lambda: "suspects" in world.store.kinds["gateways"][own].spec)
+        await world.restart()
+        reply = await world.ask("/book/a", method="POST", request_id="q3")
+        assert reply.status == 503
+        assert len(world.ran()) == 3
+        incarnation = world.gateway.incarnation
+        entry = world.store.kinds["gateways"][own]
+        await until(lambda: world.store.kinds["gateways"][own].spec["incarnation"] == incarnation)
+        assert len(entry.spec["suspects"]) == 1
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,8 +2,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweeddock.gateway.records import ServerPhase
+from knapweeddock.gateway.records import KeptEnd, KeptSuspect, ServerPhase
 from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.ids import RequestDigest
 from knapweeddock.platform.documents import decode, encode_gateway
 from knapweeddock.platform.values import DocumentError
 from standins import documents
@@ -110,6 +111,22 @@
     assert decode(Topic.GATEWAYS, "front-1", encode_gateway(entry), ZONES) == entry
 
 
+def test_refused_requests_survive_encoding():
+    suspect = KeptSuspect(
+        digest=RequestDigest(b"d" * 16), ends=(KeptEnd(server="i-1", ended_at_ms=7),)
+    )
+    entry = make_gateway("front-1", suspects=(suspect,))
+    assert decode(Topic.GATEWAYS, "front-1", encode_gateway(entry), ZONES) == entry
+
+
+@pytest.mark.parametrize(
+    "suspect", ["x", {"digest": "zz", "ends": {}}, {"digest": "00", "ends": {"i": "soon"}}, {}]
+)
+def test_refused_requests_that_cannot_be_read_leave_the_gateway_known(suspect):
+    content = {**encode_gateway(make_gateway("front-1")), "suspects": [suspect]}
+    assert decode(Topic.GATEWAYS, "front-1", content, ZONES) == make_gateway("front-1")
+
+
 def test_gateway_of_an_earlier_version_is_known_without_its_bandwidth():
     content = encode_gateway(make_gateway("front-1", link_mbps=200.0))
     del content["link_mbps"]
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -37,6 +37,8 @@
     gateway: Gateway
     stop: asyncio.Event
     running: asyncio.Task[None]
+    path: Path
+    settings_text: str
     servers: dict[str, PlatformServer] = field(default_factory=dict)
     addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
 
@@ -73,6 +75,15 @@
         finally:
             writer.close()
 
+    async def restart(self) -> None:
+        """End the gateway like a process that is killed, and start it again."""
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        text = self.settings_text.replace("Bootstrap = true", "Bootstrap = false")
+        started = _start(self.path, text, self.store)
+        self.gateway, self.stop, self.running = started.gateway, started.stop, started.running
+        await until(lambda: self.gateway.phase.value == "serving")
+
     async def settle(self) -> None:
         """Wait until the gateway may use its part of limits, some seconds after its start."""
         await until(lambda: self.gateway.quota_members.has_part(time.monotonic()))
@@ -174,4 +185,6 @@
     gateway = Gateway(settings=settings, store_client=store_client, wire=PlatformWire())
     stop = asyncio.Event()
     running = asyncio.create_task(gateway.run(stop))
-    return World(store=store, gateway=gateway, stop=stop, running=running)
+    return World(
+        store=store, gateway=gateway, stop=stop, running=running, path=path, settings_text=text
+    )
