--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -17,7 +17,7 @@
 from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.gateway.requestdigest import request_digest
-from knapweeddock.gateway.serverselection import Selection
+from knapweeddock.gateway.selection import Selection
 from knapweeddock.gateway.wire import RequestMetadata, ResponseMetadata, WireFormat
 from knapweeddock.http1.client import HttpClientConnection
 from knapweeddock.http1.messages import (
--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -10,8 +10,8 @@
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
+from knapweeddock.gateway.selection import INTER_REGION_RTT_S, Selection
 from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import INTER_REGION_RTT_S, Selection
 from knapweeddock.gateway.settings import GatewayLimits
 from knapweeddock.ids import ServiceId
 
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -13,7 +13,7 @@
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
 from knapweeddock.gateway.metrics import NO_ROUTE, GatewayMetrics, RequestLabels
 from knapweeddock.gateway.quarantine import Quarantined, Suspected
-from knapweeddock.gateway.serverselection import Selection
+from knapweeddock.gateway.selection import Selection
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
 from knapweeddock.ids import ServerId
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -22,12 +22,8 @@
 from knapweeddock.gateway.requestguard import RequestGuard
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.serverselection import (
-    Rejection,
-    Selection,
-    SelectionRequest,
-    ServerSelector,
-)
+from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
+from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.wire import RequestMetadata, WireFormat
 from knapweeddock.http1.responsewriter import ResponseState
 from knapweeddock.http1.server import IncomingRequest
@@ -280,7 +276,7 @@
         elif context.response_lost or result.outcome is AttemptOutcome.LOST:
             self._respond_routed_error(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
         else:
-            retry_after_s = self.server_selector.retry_after_s(selection.wait_s)
+            retry_after_s = self.server_selector.rejections.retry_after_s(selection.wait_s)
             self._reject(
                 context.request,
                 context.metadata,
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -12,53 +12,26 @@
 """
 
 import random
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping
 
-from knapweeddock.codes import ResultCode
 from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.routes import Route
+from knapweeddock.gateway.rejections import RejectionPolicy
+from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.spillover import CACHED_OBJECTS_PER_SERVER, SpilloverShares
-from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
+from knapweeddock.ids import FailureDomainId, RegionId, ServiceId
 from knapweeddock.rendezvous import HASH_RANGE, hash_parts
 
 MAX_PREFERRED_SERVERS = 2
 """Maximum number of preferred servers of an object in each region."""
 
-INTER_REGION_RTT_S = 0.026
-"""Assumed round-trip time to a server in another region, in seconds."""
-
 OTHER_REGION_WAIT_FACTOR = 0.5
 """Expected wait, relative to the target latency, above which servers of other regions
 are considered."""
 
-MAX_LATENCY_FACTOR = 1.0
-"""Limit on the expected wait plus the processing time for a cached object, relative to
-the target latency. Requests that would wait longer are rejected: a longer queue would
-make every request late without serving more of them."""
-
-URGENT_MAX_LATENCY_FACTOR = 1.25
-"""``MAX_LATENCY_FACTOR`` for urgent routes, so that they are rejected last."""
-
-MAX_URGENT_PRIORITY = 1
-"""Largest priority number of an urgent route; smaller numbers are more urgent."""
-
-MIN_WAIT_LIMIT_FACTOR = 0.25
-"""Expected wait, relative to the target latency, that is always accepted, so that
-routes whose processing time exceeds their target latency are served at all."""
-
-MIN_RETRY_AFTER_S = 0.3
-MAX_RETRY_AFTER_S = 1.0
-"""Bounds of the Retry-After delay in seconds, before jitter."""
-
-RETRY_AFTER_JITTER = 0.5
-"""Largest random addition to a Retry-After delay, as a fraction of it, so that clients
-do not all retry at once."""
-
 FAILURE_RATE_WEIGHT = 0.9
 """Weight of a server's failure rate in its cost. It is below 1 so that a server that
 fails every request still has a finite cost and is used when there is no other."""
@@ -77,76 +50,6 @@
 when the set of servers changes."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SelectionRequest:
-    """Properties of a request that the selection of a server depends on.
-
-    Attributes:
-        route: Route of the request.
-        service: Service that handles the request.
-        key: Object that the request concerns, for cache affinity; "" if there is none.
-        remaining_s: Seconds until the deadline, after which nobody waits for the response.
-        tried: Servers to which the request was already sent.
-        prefers_idle: Whether a server that runs nothing else is preferred, since the request
-            may end it.
-    """
-
-    route: Route
-    service: ServiceId
-    key: str
-    remaining_s: float
-    tried: Collection[ServerId] = field(default=frozenset())
-    prefers_idle: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Selection:
-    """A selected server and the response time expected of it.
-
-    Attributes:
-        server: The selected server.
-        cached: Whether the server is expected to have the object cached.
-        cache_state_known: Whether ``cached`` is reliable enough to learn processing times
-            from the response: this gateway sent the server a request for the object
-            recently, or the server is not one of the object's preferred servers in its
-            home region, to which other gateways may have sent some. The preferred
-            servers of a request without an object are the first ones in a random order.
-        wait_s: Expected time in the server's queue, in seconds.
-        certain_wait_s: Time in the queue in seconds for which there is recent evidence.
-        processing_s: Expected processing time in seconds, multiplied by the server's
-            latency ratio.
-        remote: Whether the server is in another region than this gateway.
-    """
-
-    server: ServerState
-    cached: bool
-    cache_state_known: bool
-    wait_s: float
-    certain_wait_s: float
-    processing_s: float
-    remote: bool
-
-    @property
-    def expected_s(self) -> float:
-        """Expected response time in seconds."""
-        return self.wait_s + self.processing_s + (INTER_REGION_RTT_S if self.remote else 0.0)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Rejection:
-    """No server is available or can respond in time.
-
-    Attributes:
-        code: Reason for the rejection.
-        retry_after_s: Delay in seconds after which the client may retry.
-        best: The best server that was found, if any.
-    """
-
-    code: ResultCode
-    retry_after_s: float
-    best: Selection | None = None
-
-
 class ServerSelector:
     """Selects a server for each request from the local state of this gateway.
 
@@ -158,6 +61,7 @@
         quotas: What this gateway may send to servers whose request rate is limited.
         shift_limit: Limit on the growth of the share of requests sent to other regions
             than this gateway's.
+        rejections: Decides which requests are rejected.
         shares_by_service: Current region shares by service.
         rng: Source of randomness.
     """
@@ -181,6 +85,7 @@
         self.quotas = quotas
         self.shift_limit = shift_limit
         self.rng = rng
+        self.rejections = RejectionPolicy(fleet=fleet, processing_times=processing_times, rng=rng)
         self.shares_by_service = shares_by_service
         self._rankings: dict[tuple[ServiceId, RegionId, str, bool], list[ServerState]] = {}
         self._rankings_revision = -1
@@ -190,18 +95,8 @@
         regions = self._allowed_regions(request)
         best = self._best(request, regions, now) if regions else None
         if best is None:
-            return self._reject_without_server(request, regions, now)
-        if best.certain_wait_s > self._max_wait_s(request.route):
-            return self._reject(ResultCode.WAIT_TOO_LONG, best)
-        # A request takes at least the processing time for a cached object, so one that
-        # cannot finish before its deadline even then is rejected. The round trip to
-        # another region is not counted.
-        if (
-            best.certain_wait_s + self.processing_times.measured_cached_s(request.route)
-            > request.remaining_s
-        ):
-            return self._reject(ResultCode.WAIT_TOO_LONG, best)
-        return best
+            return self.rejections.reject_without_server(request, regions, now)
+        return self.rejections.judge(request, best) or best
 
     def _best(
         self, request: SelectionRequest, regions: list[RegionId], now: float
@@ -212,7 +107,7 @@
                 return idle
         home_region = self._home_region(request, regions)
         best = self._best_in_region(request, home_region, now, is_home_region=True)
-        if best is None or self._should_try_other_regions(request, best):
+        if best is None or _should_try_other_regions(request, best):
             best = self._try_other_regions(request, regions, home_region, best, now)
         return best
 
@@ -377,14 +272,9 @@
             server.load.oldest_pending_ratio(now) * OLDEST_PENDING_FACTOR,
         )
         mean_s = self.processing_times.mean_s(request.service, request.route)
-        processing_s = self.processing_times.expected_s(request.route, cached=cached)
-        if not cached and preferred_rank is not None:
-            # Other gateways may have sent requests for the object to this server while
-            # the first preferred server was busy. A mean of both times is also expected
-            # of requests without an object.
-            hit_share = self.processing_times.hit_share(request.service)
-            cached_s = self.processing_times.expected_s(request.route, cached=True)
-            processing_s += hit_share * (cached_s - processing_s)
+        processing_s = self._processing_s(
+            request, cached=cached, is_preferred=preferred_rank is not None
+        )
         slots = server.entry.slots
         wait_per_request_s = mean_s * latency_ratio / slots
         return Selection(
@@ -399,6 +289,20 @@
             remote=server.entry.region != self.region,
         )
 
+    def _processing_s(
+        self, request: SelectionRequest, *, cached: bool, is_preferred: bool
+    ) -> float:
+        """Return the expected processing time in seconds at a server of usual speed."""
+        expected_s = self.processing_times.expected_s(request.route, cached=cached)
+        if cached or not is_preferred:
+            return expected_s
+        # Other gateways may have sent requests for the object to this server while the first
+        # preferred server was busy. A mean of both times is also expected of requests
+        # without an object.
+        hit_share = self.processing_times.hit_share(request.service)
+        cached_s = self.processing_times.expected_s(request.route, cached=True)
+        return expected_s + hit_share * (cached_s - expected_s)
+
     def _ranked_servers(self, request: SelectionRequest, region: RegionId) -> Iterable[ServerState]:
         servers = self.fleet.group(request.service, region)
         if not request.key:
@@ -421,58 +325,6 @@
             self._rankings[cache_key] = ranked
         return ranked
 
-    # Rejections
-
-    def _should_try_other_regions(self, request: SelectionRequest, selection: Selection) -> bool:
-        return selection.wait_s > OTHER_REGION_WAIT_FACTOR * request.route.target_latency_s
-
-    def _max_wait_s(self, route: Route) -> float:
-        factor = (
-            URGENT_MAX_LATENCY_FACTOR
-            if route.priority <= MAX_URGENT_PRIORITY
-            else MAX_LATENCY_FACTOR
-        )
-        max_wait_s = factor * route.target_latency_s - self.processing_times.expected_s(
-            route, cached=True
-        )
-        return max(MIN_WAIT_LIMIT_FACTOR * route.target_latency_s, max_wait_s)
-
-    def _reject_without_server(
-        self, request: SelectionRequest, regions: list[RegionId], now: float
-    ) -> Rejection:
-        """Reject a request that no server may get now.
-
-        If servers have asked for a pause, the client may come back when the first ends.
-        """
-        pauses_s = [
-            server.pause.remaining_s(now)
-            for region in regions
-            for server in self.fleet.group(request.service, region)
-            if server.pause.is_active(now)
-        ]
-        if not pauses_s:
-            return self._reject(ResultCode.NO_SITE)
-        return Rejection(
-            code=ResultCode.SHED,
-            retry_after_s=self._with_jitter(max(MIN_RETRY_AFTER_S, min(pauses_s))),
-        )
-
-    def _reject(self, code: ResultCode, best: Selection | None = None) -> Rejection:
-        wait_s = best.wait_s if best is not None else 0.0
-        return Rejection(code=code, retry_after_s=self.retry_after_s(wait_s), best=best)
-
-    def retry_after_s(self, wait_s: float) -> float:
-        """Return the Retry-After delay in seconds, with jitter to spread the retries.
-
-        Args:
-            wait_s: Expected wait at the best server, in seconds.
-        """
-        base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return self._with_jitter(base_s)
-
-    def _with_jitter(self, delay_s: float) -> float:
-        return delay_s * (1 + RETRY_AFTER_JITTER * self.rng.random())
-
 
 def _cost(selection: Selection, now: float) -> float:
     """Return the expected time to a successful response, in seconds.
@@ -481,3 +333,7 @@
     """
     success_rate = 1.0 - FAILURE_RATE_WEIGHT * selection.server.health.failure_rate(now)
     return selection.expected_s / success_rate
+
+
+def _should_try_other_regions(request: SelectionRequest, selection: Selection) -> bool:
+    return selection.wait_s > OTHER_REGION_WAIT_FACTOR * request.route.target_latency_s
--- a/tests/gateway/loadsimulation.py
+++ b/tests/gateway/loadsimulation.py
@@ -16,9 +16,10 @@
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.relay import PULSE_INTERVAL_S, REPORT_INTERVAL_S
+from knapweeddock.gateway.selection import Selection, SelectionRequest
 from knapweeddock.gateway.serverload import PendingRequest
 from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import Selection, SelectionRequest, ServerSelector
+from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from tests.gateway.support import REGION, SERVICE, make_feed, make_quotas, make_route, make_server
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -13,10 +13,11 @@
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
 from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.selection import SelectionRequest
 from knapweeddock.gateway.serverload import PendingRequest
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import SelectionRequest, ServerSelector
+from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.service import MAINTENANCE_INTERVAL_S
 from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.storecache import Update
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/test_serverselection.py
@@ -1,8 +1,8 @@
 import heapq
 
 from knapweeddock.codes import ResultCode
+from knapweeddock.gateway.selection import Rejection, Selection
 from knapweeddock.gateway.serverload import PendingRequest
-from knapweeddock.gateway.serverselection import Rejection, Selection
 from knapweeddock.gateway.spillover import SpilloverShares
 from tests.gateway.support import (
     SERVICE,
