--- a/knapweeddock/gateway/notices.py
+++ b/knapweeddock/gateway/notices.py
@@ -4,12 +4,17 @@
 gateways that have no relay, such as all of them while the store is away, and between regions.
 """
 
+import time
+from collections.abc import Iterable
+
 import msgspec
 
 from knapweeddock.gateway.coldreports import ColdBoard, ColdReport
 from knapweeddock.gateway.duekeys import Direction, Source
+from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.records import GatewayEntry, KeptSuspect
 from knapweeddock.gateway.suspectboard import SuspectBoard, SuspectReport
-from knapweeddock.ids import RegionId
+from knapweeddock.ids import RegionId, VmId
 
 
 class Notices(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -73,7 +78,31 @@
         self.cold.drop(direction)
         self.suspects.drop(direction)
 
+    def kept_suspects(self, now: float) -> tuple[KeptSuspect, ...]:
+        """Return the refused requests that this gateway keeps in its registration."""
+        return self.suspects.kept(now, _wall_clock_ms())
+
+    def restore_suspects(
+        self, entries: Iterable[GatewayEntry], now: float, *, own_vm: VmId
+    ) -> None:
+        """Learn of the refused requests that gateways keep in their registrations."""
+        for entry in entries:
+            if entry.suspects:
+                is_own = entry.vm == own_vm
+                self.suspects.restore(entry.suspects, now, _wall_clock_ms(), is_own=is_own)
+
     def update(self, now: float) -> None:
         """Decide what follows from the evidence, and forget what no longer holds."""
         self.cold.forget_past(now)
         self.suspects.update(now)
+
+
+def make_notice_board(fleet: Fleet) -> NoticeBoard:
+    """Return a board on which nothing is known, for the servers of ``fleet``."""
+    suspects = SuspectBoard()
+    cold = ColdBoard(fleet=fleet, on_end=suspects.record_server_end)
+    return NoticeBoard(cold=cold, suspects=suspects)
+
+
+def _wall_clock_ms() -> int:
+    return round(time.time() * 1000)
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -7,27 +7,25 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
-from http import HTTPStatus
 
 import structlog
 
-from knapweeddock.gateway import lookups
 from knapweeddock.gateway.attempt import AttemptRunner
 from knapweeddock.gateway.attempttracker import AttemptTracker
-from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.connectionpool import ConnectionPool
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.demand import SpilloverController
+from knapweeddock.gateway.endpoints import Endpoints
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.forward import Forwarder
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
-from knapweeddock.gateway.notices import NoticeBoard
+from knapweeddock.gateway.notices import make_notice_board
 from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.quotamembers import QuotaMembers
-from knapweeddock.gateway.records import GatewayEntry, KeptSuspect, ServerEntry
+from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
@@ -38,16 +36,14 @@
 from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.shutdown import close_in_time
 from knapweeddock.gateway.storecache import StoreCache, Update
 from knapweeddock.gateway.storeclient import StoreClient, Topic
 from knapweeddock.gateway.storewatcher import StoreWatcher
-from knapweeddock.gateway.suspectboard import SuspectBoard
 from knapweeddock.gateway.updatesource import UpdateSource
 from knapweeddock.gateway.wire import WireFormat
-from knapweeddock.http1.messages import get_header_text
-from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
+from knapweeddock.http1.server import ClientLimits, HttpListener, listening
 from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId, new_id
-from knapweeddock.metrics import METRICS_PATH
 from knapweeddock.stalls import watch_from_now
 
 log = structlog.get_logger(__name__)
@@ -56,21 +52,6 @@
 """Interval in seconds of the periodic tasks, such as updating the region shares,
 starting probes and removing expired servers."""
 
-LOOKUP_TTL_FRACTION = 0.4
-"""TTL of look-up responses as a fraction of ``max_lookup_ttl_s``."""
-
-STOP_ACCEPTING_FRACTION = 0.45
-"""Fraction of ``shutdown_timeout_s`` after which new connections and requests are
-rejected and idle connections are closed. Until then clients with older, cached look-up
-responses are still served, so the TTL of these has to be shorter."""
-
-SHUTDOWN_FRACTION = 0.95
-"""Fraction of ``shutdown_timeout_s`` after which the process exits even if requests are
-unfinished."""
-
-DRAIN_POLL_INTERVAL_S = 0.05
-"""Interval in seconds at which a shutdown closes connections that became idle."""
-
 
 class Gateway:
     """A gateway process and its components.
@@ -101,13 +82,9 @@
         self.metrics = GatewayMetrics(vm=settings.vm)
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
-        suspects = SuspectBoard()
-        self.cold_board = ColdBoard(
-            fleet=self.routing_state.fleet, on_end=suspects.record_server_end
-        )
-        self.notice_board = NoticeBoard(cold=self.cold_board, suspects=suspects)
+        self.notice_board = make_notice_board(self.routing_state.fleet)
         self.prober = Prober(
-            routing_state=self.routing_state, wire=wire, cold_board=self.cold_board
+            routing_state=self.routing_state, wire=wire, cold_board=self.notice_board.cold
         )
         self.stall_watch = watch_from_now(MAINTENANCE_INTERVAL_S)
         self._pruned_revision = -1
@@ -144,6 +121,9 @@
             is_subscribed=lambda: self.update_source.is_subscribed,
             is_relay=lambda: self.update_source.is_relay,
         )
+        self._build_relay()
+
+    def _build_relay(self) -> None:
         self.relay = RelayServer(
             store_cache=self.store_cache,
             feed=self.feed,
@@ -173,7 +153,7 @@
                 self.update_source.watches_store and self.update_source.source_reachable
             ),
             is_new=self.settings.first_start,
-            kept_suspects=self._kept_suspects,
+            kept_suspects=lambda: self.notice_board.kept_suspects(time.monotonic()),
             rng=self.rng,
         )
         self.store_cache.listeners.append(self.registrations.handle_update)
@@ -207,7 +187,7 @@
             spillover_controller=self.spillover_controller,
             fleet=self.routing_state.fleet,
             report_board=self.report_board,
-            cold_board=self.cold_board,
+            cold_board=self.notice_board.cold,
             gateway_count=self.quota_members.count,
             now=time.monotonic,
         )
@@ -246,10 +226,23 @@
         self.front_listener = HttpListener(
             handler=self.forwarder.handle, get_limits=self.routing_state.client_limits
         )
+        endpoints = Endpoints(
+            wire=self.wire,
+            routing_state=self.routing_state,
+            feed=self.feed,
+            metrics=self.metrics,
+            phase=lambda: self.phase,
+            max_lookup_ttl_s=lambda: self.settings.limits.max_lookup_ttl_s,
+            rng=self.rng,
+        )
         # The configuration limits clients' requests only; the others have the default limits.
-        self.ready_listener = HttpListener(handler=self._handle_ready, get_limits=ClientLimits)
-        self.metrics_listener = HttpListener(handler=self._handle_metrics, get_limits=ClientLimits)
-        self.lookup_listener = HttpListener(handler=self._handle_lookup, get_limits=ClientLimits)
+        self.ready_listener = HttpListener(handler=endpoints.handle_ready, get_limits=ClientLimits)
+        self.metrics_listener = HttpListener(
+            handler=endpoints.handle_metrics, get_limits=ClientLimits
+        )
+        self.lookup_listener = HttpListener(
+            handler=endpoints.handle_lookup, get_limits=ClientLimits
+        )
 
     def _max_idle_connections(self, entry: ServerEntry) -> int:
         """Return how many idle connections to a server the pool keeps.
@@ -268,14 +261,8 @@
             return
         now = time.monotonic()
         self._update_quota_members(now)
-        for entry in update.items.values():
-            if entry is not None and entry.suspects:
-                is_own = entry.vm == self.settings.vm
-                board = self.notice_board.suspects
-                board.restore(entry.suspects, now, _wall_clock_ms(), is_own=is_own)
-
-    def _kept_suspects(self) -> tuple[KeptSuspect, ...]:
-        return self.notice_board.suspects.kept(time.monotonic(), _wall_clock_ms())
+        entries = [entry for entry in update.items.values() if entry is not None]
+        self.notice_board.restore_suspects(entries, now, own_vm=self.settings.vm)
 
     def _update_quota_members(self, now: float) -> None:
         self.quota_members.update(self.routing_state.gateways, self.feed.live_members(now), now)
@@ -376,8 +363,6 @@
 
         Returns after ``SHUTDOWN_FRACTION`` of the shutdown timeout at the latest.
         """
-        started_at = time.monotonic()
-        timeout_s = self.settings.limits.shutdown_timeout_s
         self.phase = GatewayPhase.LEAVING
         self.front_listener.draining = True
         self.relay.close()
@@ -387,16 +372,16 @@
             active=self.front_listener.active_request_count,
             connections=len(self.front_listener.connections),
         )
-        # New clients may connect for as long as they cache older look-up responses.
-        await asyncio.sleep(STOP_ACCEPTING_FRACTION * timeout_s)
-        self.front_listener.stop_accepting()
+        await close_in_time(
+            self.front_listener,
+            timeout_s=self.settings.limits.shutdown_timeout_s,
+            on_stop_accepting=self._reject_new_requests,
+        )
+
+    def _reject_new_requests(self) -> None:
         self.forwarder.reject_new_requests = True
-        while time.monotonic() - started_at < SHUTDOWN_FRACTION * timeout_s:
-            if not self.front_listener.close_idle_connections():
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
-    # Heartbeats, metrics, readiness checks and look-ups
+    # Heartbeats and metrics
 
     def _live_gateways(self) -> list[VmId]:
         return self.feed.live_gateways(time.monotonic())
@@ -452,48 +437,6 @@
             )
         )
 
-    async def _handle_metrics(self, request: IncomingRequest) -> None:
-        path = request.head.target.partition(b"?")[0].decode("latin-1")
-        if path != METRICS_PATH:
-            request.response.send(HTTPStatus.NOT_FOUND, [])
-            return
-        accept = [get_header_text(request.head.headers, b"accept")]
-        content, headers = self.metrics.process_metrics.render(accept)
-        encoded = [(name.encode(), value.encode()) for name, value in headers.items()]
-        request.response.send(HTTPStatus.OK, encoded, content)
-
-    async def _handle_ready(self, request: IncomingRequest) -> None:
-        if not self.wire.is_readiness_check(request.head):
-            status = HTTPStatus.NOT_FOUND
-        elif self.phase is GatewayPhase.SERVING:
-            status = HTTPStatus.OK
-        else:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-        request.response.send(status, [])
-
-    async def _handle_lookup(self, request: IncomingRequest) -> None:
-        query = self.wire.parse_lookup(request.head)
-        if query is None:
-            request.response.send(HTTPStatus.NOT_FOUND, [])
-            return
-        entries = lookups.choose_gateways(
-            region=query.region,
-            failure_domain=query.failure_domain,
-            gateways=self.routing_state.gateways,
-            members=self.feed.live_members(time.monotonic()),
-            rng=self.rng,
-        )
-        ttl_s = LOOKUP_TTL_FRACTION * self.settings.limits.max_lookup_ttl_s
-        addresses = [entry.front_address for entry in entries]
-        body = self.wire.encode_lookup_response(addresses, ttl_s=ttl_s)
-        request.response.send(
-            lookups.response_status(entries), [(b"Content-Type", b"application/json")], body
-        )
-
-
-def _wall_clock_ms() -> int:
-    return round(time.time() * 1000)
-
 
 @contextlib.asynccontextmanager
 async def _background(*coroutine_functions: Callable[[], object]) -> AsyncIterator[None]:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -2,11 +2,10 @@
 
 import random
 
-from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.dividedlimit import COLD_USED_FRACTION
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
-from knapweeddock.gateway.notices import NoticeBoard
+from knapweeddock.gateway.notices import make_notice_board
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.quotamembers import QuotaMembers
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
@@ -23,7 +22,6 @@
 from knapweeddock.gateway.storecache import Update
 from knapweeddock.gateway.storeclient import Topic
 from knapweeddock.gateway.storeposition import StorePosition
-from knapweeddock.gateway.suspectboard import SuspectBoard
 
 SERVICE = "ledger"
 REGION = "north"
@@ -100,7 +98,7 @@
 def make_feed(vm: str, *, region: str = REGION, **changes) -> RegionFeed:
     values = {
         "report_board": ReportBoard(fleet=Fleet()),
-        "notice_board": NoticeBoard(cold=ColdBoard(fleet=Fleet()), suspects=SuspectBoard()),
+        "notice_board": make_notice_board(Fleet()),
         "own_heartbeat": lambda: make_heartbeat(vm, region=region),
         "region_sizes": lambda: {region: 1},
     }
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -119,6 +119,7 @@
             for peers in (second, far):
                 state = peers.feed.notice_board.cold.fleet.servers["s"]
                 await until(lambda state=state: state.is_cold(now))
+                assert state.presumed_cold_until > now
 
 
 async def test_relay_and_subscriber_leave_notices_to_their_connection():
