--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
 from http import HTTPStatus
 
 import structlog
@@ -50,15 +51,20 @@
             if server_id in self._tasks or state.pause.is_active(now):
                 continue
             if state.health.is_probe_due(now):
-                task = asyncio.create_task(self._probe(state))
-                self._tasks[server_id] = task
-                task.add_done_callback(lambda _, server_id=server_id: self._tasks.pop(server_id))
+                self._start(state, self._probe(state))
+
+    def _start(self, state: ServerState, check: Coroutine[None, None, None]) -> None:
+        server_id = state.entry.server
+        task = asyncio.create_task(check)
+        self._tasks[server_id] = task
+        task.add_done_callback(lambda _: self._tasks.pop(server_id))
 
     def check_for_end(self, state: ServerState) -> asyncio.Task[bool]:
         """Find out at once whether a server has ended that broke off a connection.
 
         A server that accepts a connection right afterwards has not ended, since no process
-        starts again as fast. Its health is not asked for, as that waits for a free slot.
+        starts again as fast. A proxy may accept it for a server that has, so the health is
+        asked for as well, beside what follows.
 
         Returns:
             A task whose result tells whether the server has ended. Checks of the same server
@@ -80,8 +86,28 @@
             log.info("server has ended", server=state.entry.server, reason=str(error))
             return True
         connection.abort()
+        if state.entry.server not in self._tasks:
+            self._start(state, self._check_after_loss(state))
         return False
 
+    async def _check_after_loss(self, state: ServerState) -> None:
+        """Ask for the health of a server that is in use, and learn only what is certain.
+
+        One that is busy may respond late or not run the check.
+        """
+        self.probes_sent += 1
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                metadata = await self._check_health(state)
+        except TimeoutError:
+            return
+        except (PeerUnavailable, ResponseError) as error:
+            state.health.record_unreachable(time.monotonic())
+            log.info("server not back", server=state.entry.server, reason=str(error))
+            return
+        if metadata is not None and metadata.warmup_left_s:
+            self._record_warmup(state, metadata.warmup_left_s)
+
     async def _probe(self, state: ServerState) -> None:
         self.probes_sent += 1
         try:
@@ -94,13 +120,16 @@
         if metadata is None:
             self._record_unreachable(state)
             return
-        now = time.monotonic()
         warmup_left_s = self._warmup_left_s(state, metadata)
+        self._record_warmup(state, warmup_left_s)
+        state.health.record_probe_success()
+        log.info("server back", server=state.entry.server, warmup_left_s=warmup_left_s)
+
+    def _record_warmup(self, state: ServerState, warmup_left_s: float) -> None:
+        now = time.monotonic()
         if warmup_left_s > 0:
             state.become_cold(now + warmup_left_s, now)
-        state.health.record_probe_success()
         self.cold_board.record_warmup(state, warmup_left_s, now)
-        log.info("server back", server=state.entry.server, warmup_left_s=warmup_left_s)
 
     def _warmup_left_s(self, state: ServerState, metadata: ResponseMetadata) -> float:
         """Return the time in seconds for which a server that is back stays cold.
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -86,6 +86,11 @@
         await web.TCPSite(self._runner, "127.0.0.1", port).start()
         return self._runner.addresses[0][1]
 
+    def set_cold(self, *, cold: bool) -> None:
+        """Change what its entry and its health tell of its warm-up."""
+        self.cold = cold
+        self.server.warmup_ms = round(WARMUP_S * 1000) if cold else 0
+
     async def stop(self) -> None:
         """End the server and its connections without a word."""
         if self._runner is not None:
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -136,12 +136,12 @@
             await asyncio.sleep(max(0.0, fault.down_s - LAPSE_S))
             renamed = f"{name.partition('.')[0]}.{host.starts}"
             await host.start(name=renamed if fault.renamed else name, port=port)
-            host.cold = True
+            host.set_cold(cold=True)
             deployment.seen.cold_starts.append(_cold_start(host))
             host.link.disturb(LinkFault.NONE)
             deployment.publish_server(host)
         await asyncio.sleep(WARMUP_S)
-        host.cold = False
+        host.set_cold(cold=False)
         deployment.publish_server(host)
 
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -270,6 +270,18 @@
         assert world.gateway.routing_state.fleet.servers["i-0"].health.is_usable()
 
 
+async def test_server_behind_a_proxy_that_starts_again_is_known_to_be_cold(settings_path):
+    # The proxy accepts connections for it, and the store tells nothing of the restart.
+    async with running_world(settings_path, servers=1) as world:
+        server = world.servers["i-0"]
+        server.fault = ServerFault.RESET_AFTER_RUN
+        server.warmup_ms = 3000
+        await world.ask("/read/a", request_id="lost")
+        state = world.gateway.routing_state.fleet.servers["i-0"]
+        await until(lambda: state.is_cold(asyncio.get_running_loop().time()))
+        assert state.health.is_usable()
+
+
 async def test_server_that_ends_under_a_request_is_known_to_be_away(settings_path):
     # Other requests would be lost or refused by its port one after the other.
     async with running_world(settings_path, servers=2) as world:
