--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -8,7 +8,7 @@
 import structlog
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.errors import IncompleteRequest, ResponseError
+from knapweeddock.errors import IncompleteRequest, IncompleteResponse, ResponseError
 from knapweeddock.gateway.attempt import (
     AttemptOutcome,
     AttemptResult,
@@ -229,7 +229,7 @@
             self.attempt_tracker.record_result(context, selection, result, started_at=now)
             if result.connection_lost:
                 self.request_guard.record_lost_connection(outgoing, selection.server)
-            elif result.outcome is AttemptOutcome.RESPONSE:
+            elif result.outcome is AttemptOutcome.RESPONSE and result.body_complete:
                 self.request_guard.record_response(outgoing, time.monotonic())
             if result.outcome is AttemptOutcome.UNREACHABLE:
                 self.attempt_runner.pool.close_idle(selection.server.entry.server)
@@ -237,8 +237,19 @@
             self.decision_log.record_attempt(context, selection, result, will_retry=will_retry)
             if not will_retry:
                 await self._respond_with_result(context, selection, result)
+                if result.outcome is AttemptOutcome.RESPONSE and not result.body_complete:
+                    self._learn_from_stream(outgoing, selection, result)
                 return
 
+    def _learn_from_stream(
+        self, outgoing: OutgoingRequest, selection: Selection, result: AttemptResult
+    ) -> None:
+        """Learn from the end of a response that was passed on while it arrived."""
+        if result.connection_lost:
+            self.request_guard.record_lost_connection(outgoing, selection.server)
+        elif result.connection.complete:
+            self.request_guard.record_response(outgoing, time.monotonic())
+
     def _should_retry(
         self, context: RequestContext, outgoing: OutgoingRequest, result: AttemptResult
     ) -> bool:
@@ -325,6 +336,7 @@
             while chunk := await connection.read():
                 await response.write(chunk)
         except ResponseError as error:
+            result.connection_lost = isinstance(error, IncompleteResponse)
             self.decision_log.record_delivery(context, head.status, error=str(error))
             response.abort()
             return
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -4,12 +4,15 @@
 """
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
 from knapweeddock.gateway.records import ServerPhase
-from standins.platformserver import ServerFault
-from tests.platform.world import World, running_world
+from knapweeddock.gateway.service import Gateway
+from standins.metastore import StoreFault
+from standins.platformserver import PlatformServer, ServerFault
+from tests.platform.world import World, request_bytes, running_world
 from tests.waiting import until
 
 MAX_FURTHER_TRIES = 3
@@ -23,10 +26,20 @@
     return tmp_path / "boot.toml"
 
 
-def end_servers_under(world: World, request_ids: list[str]) -> None:
-    """Let each server end as soon as it runs a request with one of the identifiers."""
+def end_servers_under(world: World, request_ids: list[str], *, delay_s: float = 0.0) -> None:
+    """Let each server end when it runs a request with one of the identifiers."""
+    loop = asyncio.get_running_loop()
+
+    def end(server: PlatformServer, request: str, body: bytes) -> None:
+        if request not in request_ids:
+            return
+        if delay_s > 0:
+            loop.call_later(delay_s, server.end)
+        else:
+            server.end()
+
     for server in world.servers.values():
-        server.on_run = lambda server, request, _: request in request_ids and server.end()
+        server.on_run = end
 
 
 def tries(world: World, request_ids: list[str]) -> int:
@@ -124,3 +137,47 @@
         entry = world.store.kinds["gateways"][own]
         await until(lambda: world.store.kinds["gateways"][own].spec["incarnation"] == incarnation)
         assert len(entry.spec["suspects"]) == 1
+
+
+async def test_server_that_ends_in_the_middle_of_a_long_response_is_counted(settings_path):
+    # The client has got a part of it already, so no other attempt can tell.
+    async with running_world(settings_path, servers=3) as world:
+        end_servers_under(world, ["long"], delay_s=0.1)
+        _, writer = await world.connect()
+        writer.write(request_bytes("/read/a?size=30000000", request_id="long"))
+        await until(lambda: not world.gateway.notice_board.suspects.is_empty)
+        assert world.gateway.notice_board.suspects.counts()["suspected"] == 1
+        assert len(world.ran()) == 1
+        writer.close()
+
+
+ONE_A_REGION = [("front-south-a-1", "south-a")]
+RELAYS = [("front-north-a-2", "north-a"), ("front-north-b-1", "north-b"), *ONE_A_REGION]
+
+
+@pytest.mark.parametrize("others", [ONE_A_REGION, RELAYS], ids=["alone", "relays"])
+@pytest.mark.parametrize("fault", [StoreFault.NONE, StoreFault.SILENT])
+async def test_gateways_of_all_regions_refuse_what_one_has_found_out(settings_path, others, fault):
+    # The request comes at any gateway; each of them would end three servers.
+    async with running_world(settings_path, servers=8) as world, AsyncExitStack() as stack:
+        gateways = [
+            await stack.enter_async_context(world.another_gateway(node, zone))
+            for node, zone in others
+        ]
+        known = len(gateways) + 1
+        everybody = [world.gateway, *gateways]
+        await until(lambda: all(len(each.routing_state.gateways) == known for each in everybody))
+        end_servers_under(world, ["q0", "q1", "q2", "q3"])
+        world.store.fault = fault
+        for request_id in ("q0", "q1", "q2"):
+            await world.ask("/book/a", method="POST", request_id=request_id)
+        for gateway in gateways:
+            await until(lambda gateway=gateway: not gateway.notice_board.suspects.is_empty)
+            await until(lambda gateway=gateway: quarantined(gateway) == 1)
+            reply = await world.ask("/book/a", method="POST", request_id="q3", gateway=gateway)
+            assert reply.status == 503
+        assert len(world.ran()) == 3
+
+
+def quarantined(gateway: Gateway) -> int:
+    return gateway.notice_board.suspects.counts()["quarantined"]
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -39,6 +39,7 @@
     running: asyncio.Task[None]
     path: Path
     settings_text: str
+    store_address: str = ""
     servers: dict[str, PlatformServer] = field(default_factory=dict)
     addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
 
@@ -56,9 +57,11 @@
         request_id: str = "q1",
         body: bytes = b"",
         host: str = "ring.example",
+        gateway: Gateway | None = None,
     ) -> Reply:
-        """Send a request on a connection of its own."""
-        reader, writer = await self.connect()
+        """Send a request on a connection of its own, to the first gateway if none is given."""
+        front = (gateway or self.gateway).settings.front
+        reader, writer = await asyncio.open_connection(*front)
         writer.write(
             request_bytes(
                 path,
@@ -88,6 +91,18 @@
         """Wait until the gateway may use its part of limits, some seconds after its start."""
         await until(lambda: self.gateway.quota_members.has_part(time.monotonic()))
 
+    @contextlib.asynccontextmanager
+    async def another_gateway(self, node: str, zone: str) -> AsyncIterator[Gateway]:
+        """Run one more gateway on the same store within the block."""
+        text = settings_for(self.store_address, node=node, zone=zone)
+        started = _start(self.path.with_name(f"{node}.toml"), text, self.store)
+        try:
+            await until(lambda: started.gateway.phase.value == "serving" or started.running.done())
+            yield started.gateway
+        finally:
+            started.running.cancel()
+            await asyncio.gather(started.running, return_exceptions=True)
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection to the gateway's front port."""
         return await asyncio.open_connection(*self.gateway.settings.front)
@@ -139,6 +154,18 @@
         return sock.getsockname()[1]
 
 
+def settings_for(store: str, **changes: str) -> str:
+    """Return the settings of a gateway with ports of its own."""
+    return documents.settings_text(
+        peer=free_port(),
+        front=free_port(),
+        ready=free_port(),
+        lookup=free_port(),
+        store=store,
+        **changes,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running_world(
     path: Path, *, servers: int = 2, configured: bool = True, grace: str = "6s"
@@ -155,15 +182,9 @@
             found[name], addresses[name] = await stack.enter_async_context(running_server(name))
             entry = found[name].entry(addresses[name], "north-a", "ledger")
             store.put("servers", name, entry)
-        text = documents.settings_text(
-            peer=free_port(),
-            front=free_port(),
-            ready=free_port(),
-            lookup=free_port(),
-            grace=grace,
-            store=f"{store_address[0]}:{store_address[1]}",
-        )
-        world = _start(path, text, store)
+        store_text = f"{store_address[0]}:{store_address[1]}"
+        world = _start(path, settings_for(store_text, grace=grace), store)
+        world.store_address = store_text
         world.servers = found
         world.addresses = addresses
         try:
