--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -326,6 +326,16 @@
         """Return the services that have servers that may get requests."""
         return list(self._regions)
 
+    def counts(self, now: float) -> dict[str, int]:
+        """Return the number of servers by state; a server may be in several."""
+        states = self.servers.values()
+        return {
+            "listed": len(states),
+            "cold": sum(state.is_cold(now) for state in states),
+            "unreachable": sum(not state.health.is_usable() for state in states),
+            "lapsing": sum(state.expires_at is not None for state in states),
+        }
+
     def reachable_slots(self, service: ServiceId, region: RegionId) -> int:
         """Return the number of slots of the reachable servers of a group."""
         group = self.group(service, region)
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -6,12 +6,13 @@
 import random
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 import structlog
 
 from knapweeddock.gateway.attempt import AttemptRunner
 from knapweeddock.gateway.attempttracker import AttemptTracker
+from knapweeddock.gateway.background import background
 from knapweeddock.gateway.connectionpool import ConnectionPool
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.demand import SpilloverController
@@ -265,7 +266,8 @@
         self.notice_board.restore_suspects(entries, now, own_vm=self.settings.vm)
 
     def _update_quota_members(self, now: float) -> None:
-        self.quota_members.update(self.routing_state.gateways, self.feed.live_members(now), now)
+        live = self.feed.liveness.live_members(now).values()
+        self.quota_members.update(self.routing_state.gateways, live, now)
 
     def _cold_rate_per_s(self, service: ServiceId) -> float:
         """Return the requests per second that a cold server of ``service`` may get."""
@@ -296,7 +298,7 @@
         """Serve until ``stop`` is set, then shut down gracefully."""
         async with self._listen():
             log.info("gateway started", vm=self.settings.vm, incarnation=self.incarnation)
-            async with _background(
+            async with background(
                 self.update_source.run,
                 self.relay.run,
                 self.peers.run,
@@ -411,13 +413,6 @@
     def _update_metrics(self) -> None:
         """Update the metrics with the current state."""
         now = time.monotonic()
-        states = self.routing_state.fleet.servers.values()
-        servers = {
-            "listed": len(states),
-            "cold": sum(state.is_cold(now) for state in states),
-            "unreachable": sum(not state.health.is_usable() for state in states),
-            "lapsing": sum(state.expires_at is not None for state in states),
-        }
         config = self.routing_state.config
         self.metrics.update(
             GaugeValues(
@@ -426,7 +421,7 @@
                 store_calls=self.store_client.calls,
                 active_requests=self.front_listener.active_request_count,
                 client_connections=len(self.front_listener.connections),
-                servers=servers,
+                servers=self.routing_state.fleet.counts(now),
                 gateways_alive=len(self.feed.liveness.live_members(now)),
                 server_connections_opened=self.connection_pool.connections_opened,
                 probes_sent=self.prober.probes_sent,
@@ -436,13 +431,3 @@
                 stalled_s=self.stall_watch.stalled_s,
             )
         )
-
-
-@contextlib.asynccontextmanager
-async def _background(*coroutine_functions: Callable[[], object]) -> AsyncIterator[None]:
-    """Run coroutine functions beside the block; an error in one cancels the block."""
-    async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(run()) for run in coroutine_functions]
-        yield
-        for task in tasks:
-            task.cancel()
