--- a/knapweeddock/gateway/coldreports.py
+++ b/knapweeddock/gateway/coldreports.py
@@ -77,6 +77,7 @@
     ) -> None:
         self.fleet = fleet
         self.on_end = on_end
+        fleet.on_turned_cold = self.record_turned_cold
         self._words: dict[ServerId, _Word] = {}
         self._due: DueKeys[ServerId] = DueKeys()
 
@@ -102,6 +103,15 @@
         if warmup_left_s > 0 or (known is not None and known.cold_until > now):
             self._say(state, _Word(cold_until=now + warmup_left_s, presumed=False, said_at=now))
 
+    def record_turned_cold(self, state: ServerState, until: float, now: float) -> None:
+        """Record that the store tells of a server that has turned cold under traffic.
+
+        After an outage of the store the gateways reach it again one after the other.
+        """
+        known = self._words.get(state.entry.server)
+        if known is None or known.cold_until < until - RENEWAL_S / 2:
+            self._say(state, _Word(cold_until=until, presumed=False, said_at=now))
+
     def merge(self, reports: Iterable[ColdReport], now: float, source: Source) -> None:
         """Apply the reports of other gateways that are later than the known ones."""
         for report in reports:
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/fleet.py
@@ -1,6 +1,6 @@
 """The backend servers that the store lists, and which of them may get requests."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import structlog
 
@@ -138,6 +138,9 @@
         revision: Number that increases when the groups of servers may have changed.
         is_loaded: Whether the list of servers was read from the store at least once.
         departed: Servers that are no longer registered.
+        on_turned_cold: Called with the state of a server of which the store tells that it has
+            turned cold or started again while it got its usual share, and with the monotonic
+            times until which it is cold and now.
     """
 
     def __init__(self) -> None:
@@ -147,6 +150,7 @@
         self.revision = 0
         self.is_loaded = False
         self.departed = DepartedServers()
+        self.on_turned_cold: Callable[[ServerState, float, float], None] = _ignore_turned_cold
         self._groups: dict[GroupKey, tuple[ServerState, ...]] = {}
         self._regions: dict[ServiceId, tuple[RegionId, ...]] = {}
 
@@ -257,7 +261,7 @@
             if state.entry.phase is not entry.phase:
                 log.info("server phase changed", server=entry.server, phase=entry.phase.value)
             if entry.warmup_left_s > 0:
-                state.become_cold(now + entry.warmup_left_s, now)
+                self._turn_cold(state, now + entry.warmup_left_s, now)
         self.servers[entry.server] = state
         state.entry = entry
         state.expires_at = None
@@ -285,11 +289,16 @@
         # The entry may not contain the warm-up time of the new process yet.
         cold_s = entry.warmup_left_s or self.warmup_s.get(entry.service, 0.0)
         if cold_s > 0 and old.gets_usual_share(now):
-            state.become_cold(now + cold_s, now)
+            self._turn_cold(state, now + cold_s, now)
         elif cold_s > 0:
             state.cold_until = now + cold_s
         return state
 
+    def _turn_cold(self, state: ServerState, until: float, now: float) -> None:
+        if state.gets_usual_share(now):
+            self.on_turned_cold(state, until, now)
+        state.become_cold(until, now)
+
     def _rebuild_groups(self) -> None:
         groups: dict[GroupKey, list[ServerState]] = {}
         regions: dict[ServiceId, set[RegionId]] = {}
@@ -342,6 +351,10 @@
         return sum(state.entry.slots for state in group if state.health.is_usable())
 
 
+def _ignore_turned_cold(state: ServerState, until: float, now: float) -> None:
+    """Tell nobody."""
+
+
 def _is_restart(old: ServerEntry, new: ServerEntry) -> bool:
     """Whether a new entry of a known server shows that its process was restarted."""
     moved = old.address != new.address or old.service != new.service
--- a/tests/gateway/test_coldreports.py
+++ b/tests/gateway/test_coldreports.py
@@ -140,3 +140,32 @@
     assert server_state(other.fleet, "b").is_cold(NOW + 2.9)
     board.forget_past(NOW + 1 + PRESUMED_COLD_S + MAX_AGE_S)
     assert board.current(NOW) == []
+
+
+@pytest.mark.parametrize("exchange", [exchange_by_datagrams, exchange_by_relay])
+@pytest.mark.parametrize("size", [4, 64])
+def test_server_that_turned_cold_while_the_store_was_away(size, exchange):
+    # Gateways reach the store again within a second or two; the first one tells the others.
+    gateways = make_region(size, cold_until=0.0)
+    boards = {gateway.vm: ColdBoard(fleet=gateway.state.fleet) for gateway in gateways}
+    sent_at = []
+    for index in range(5):
+        gateways[index % size].advance(SETTLED_S + index / 20)
+        assert gateways[index % size].send("s")
+        sent_at.append(gateways[index % size].now)
+    for gateway in gateways:
+        gateway.advance(SETTLED_S + 0.3)
+    entry = make_server("s", started_at_ms=1, warmup_left_s=3.0)
+    gateways[-1].state.fleet.upsert(entry, SETTLED_S + 0.3)
+    exchange(gateways, boards)
+    sent_at += send_all_that_is_allowed(gateways, until=SETTLED_S + 2.0)
+    assert most_in_a_second(sent_at) <= COLD_RATE_PER_S
+
+
+def test_start_of_a_new_server_is_not_reported():
+    # All gateways learn of it from the store, and nobody has sent it anything.
+    board = make_board("a")
+    board.fleet.upsert(make_server("b", warmup_left_s=3.0), NOW)
+    assert board.take(Direction.TO_RELAY, NOW) == []
+    board.fleet.upsert(make_server("a", warmup_left_s=3.0), NOW)
+    assert [each.server for each in board.take(Direction.TO_RELAY, NOW)] == ["a"]
