--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -228,7 +228,9 @@
             context.sent_attempts += result.outcome is not AttemptOutcome.UNREACHABLE
             self.attempt_tracker.record_result(context, selection, result, started_at=now)
             if result.connection_lost:
-                self.request_guard.record_lost_connection(outgoing, selection.server)
+                self.request_guard.record_lost_connection(
+                    outgoing, selection.server, sent_at=sent.sent_at
+                )
             elif result.outcome is AttemptOutcome.RESPONSE and result.body_complete:
                 self.request_guard.record_response(outgoing, time.monotonic())
             if result.outcome is AttemptOutcome.UNREACHABLE:
@@ -238,15 +240,20 @@
             if not will_retry:
                 await self._respond_with_result(context, selection, result)
                 if result.outcome is AttemptOutcome.RESPONSE and not result.body_complete:
-                    self._learn_from_stream(outgoing, selection, result)
+                    self._learn_from_stream(outgoing, selection, result, sent_at=sent.sent_at)
                 return
 
     def _learn_from_stream(
-        self, outgoing: OutgoingRequest, selection: Selection, result: AttemptResult
+        self,
+        outgoing: OutgoingRequest,
+        selection: Selection,
+        result: AttemptResult,
+        *,
+        sent_at: float,
     ) -> None:
         """Learn from the end of a response that was passed on while it arrived."""
         if result.connection_lost:
-            self.request_guard.record_lost_connection(outgoing, selection.server)
+            self.request_guard.record_lost_connection(outgoing, selection.server, sent_at=sent_at)
         elif result.connection.complete:
             self.request_guard.record_response(outgoing, time.monotonic())
 
--- a/knapweeddock/gateway/requestguard.py
+++ b/knapweeddock/gateway/requestguard.py
@@ -11,8 +11,14 @@
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.quarantine import Unsuspected, Verdict, judge
 from knapweeddock.gateway.records import ServerPhase
+from knapweeddock.gateway.suspect import ServerEnd
 from knapweeddock.gateway.suspectboard import SuspectBoard
 from knapweeddock.ids import VmId
+from knapweeddock.rendezvous import hash_parts
+
+REPORTER_NUMBERS = 1 << 16
+"""Number of values by which gateways are told apart in reports; two that share one are compared
+without a margin for the time that reports are on their way."""
 
 
 class RequestGuard:
@@ -57,23 +63,42 @@
         """Count a run of a suspect while the block runs."""
         return self.board.running(outgoing.digest)
 
-    def record_lost_connection(self, outgoing: OutgoingRequest, server: ServerState) -> None:
+    def record_lost_connection(
+        self, outgoing: OutgoingRequest, server: ServerState, *, sent_at: float
+    ) -> None:
         """Find out whether a server ended while it ran a request, and remember that.
 
         A server that was leaving may end under any request.
+
+        Args:
+            outgoing: The request.
+            server: The server whose connection was just lost.
+            sent_at: Monotonic time at which the request was sent there.
         """
         check = self.prober.check_for_end(server)
-        if server.entry.phase is ServerPhase.READY and not server.is_leaving:
-            check.add_done_callback(lambda done: self._record_end(done, outgoing, server))
+        if server.entry.phase is not ServerPhase.READY or server.is_leaving:
+            return
+        now = time.monotonic()
+        end = ServerEnd(
+            server=server.entry.server,
+            at=now,
+            ran_s=now - sent_at,
+            reporter=hash_parts("reporter", self.vm) % REPORTER_NUMBERS,
+        )
+        check.add_done_callback(lambda done: self._record_end(done, outgoing, server, end))
 
     def _record_end(
-        self, check: asyncio.Task[bool], outgoing: OutgoingRequest, server: ServerState
+        self,
+        check: asyncio.Task[bool],
+        outgoing: OutgoingRequest,
+        server: ServerState,
+        end: ServerEnd,
     ) -> None:
-        is_registered = self.fleet.servers.get(server.entry.server) is server
+        is_registered = self.fleet.servers.get(end.server) is server
         if check.cancelled() or not check.result() or not is_registered:
             return
-        self.board.record_end(outgoing.digest, server.entry.server, time.monotonic())
-        self.decision_log.record_server_end(outgoing, server.entry.server)
+        self.board.record_end(outgoing.digest, end)
+        self.decision_log.record_server_end(outgoing, end.server)
 
     def record_response(self, outgoing: OutgoingRequest, now: float) -> None:
         """Record that a request ran to a response."""
--- a/knapweeddock/gateway/suspect.py
+++ b/knapweeddock/gateway/suspect.py
@@ -20,6 +20,10 @@
 """Time in seconds before and after an end in which ends of other servers are compared with it.
 A failure domain that loses power is found out within that time."""
 
+ORDER_MARGIN_S = 0.1
+"""Time in seconds by which a run must begin after an end that another gateway has reported; the
+time that a report is on its way is not known."""
+
 MAX_ENDS = 16
 """Largest number of ends that are remembered of a request, the first three among them."""
 
@@ -31,15 +35,24 @@
     Attributes:
         server: The server.
         at: Monotonic time in seconds.
+        ran_s: Time in seconds for which the request had been there.
+        reporter: Number that tells apart the gateways that sent it there; 0 if unknown.
     """
 
     server: ServerId
     at: float
+    ran_s: float = 0.0
+    reporter: int = 0
 
     def is_same(self, other: "ServerEnd") -> bool:
         """Whether both are the same end."""
         return self.server == other.server and abs(self.at - other.at) <= SAME_END_S
 
+    def follows(self, earlier: "ServerEnd") -> bool:
+        """Whether the request was sent to this server after ``earlier``."""
+        margin_s = 0.0 if self.reporter == earlier.reporter else ORDER_MARGIN_S
+        return self.at - self.ran_s >= earlier.at + margin_s
+
 
 @dataclass(kw_only=True, slots=True)
 class Suspect:
@@ -89,6 +102,10 @@
 def explains_its_ends(suspect: Suspect, others: Iterable[ServerEnd]) -> bool:
     """Whether enough servers ended under a request and not by a common cause.
 
+    Of servers that end together, each loses what it runs, and an often repeated request runs
+    on all of them. So ends count one after the other, each under a run that began after the
+    one before, and not while more other servers end.
+
     Args:
         suspect: What is known of the request.
         others: Ends of servers that ran neither this request nor another one with many ends.
@@ -97,8 +114,16 @@
         return False
     own = suspect.ends
     others = list(others)
-    counted = sum(len(_servers_near(end, others)) <= len(_servers_near(end, own)) for end in own)
-    return counted >= QUARANTINE_ENDS
+    alone = [end for end in own if len(_servers_near(end, others)) <= len(_servers_near(end, own))]
+    return len(_one_after_the_other(alone)) >= QUARANTINE_ENDS
+
+
+def _one_after_the_other(ends: Iterable[ServerEnd]) -> list[ServerEnd]:
+    chain: list[ServerEnd] = []
+    for end in ends:
+        if not chain or end.follows(chain[-1]):
+            chain.append(end)
+    return chain
 
 
 def _servers_near(end: ServerEnd, ends: Iterable[ServerEnd]) -> set[ServerId]:
--- a/knapweeddock/gateway/suspectboard.py
+++ b/knapweeddock/gateway/suspectboard.py
@@ -75,10 +75,14 @@
     Attributes:
         server: The server.
         age_ms: Time in ms since then.
+        ran_ms: Time in ms for which the request had been there.
+        reporter: Number of the gateway that sent it there.
     """
 
     server: ServerId
     age_ms: int
+    ran_ms: int = 0
+    reporter: int = 0
 
 
 class SuspectReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -116,9 +120,9 @@
 
     # Evidence
 
-    def record_end(self, digest: RequestDigest, server: ServerId, now: float) -> None:
+    def record_end(self, digest: RequestDigest, end: ServerEnd) -> None:
         """Record that a server has ended while it ran a request for this gateway."""
-        if self._suspect(digest, now).add(ServerEnd(server=server, at=now)):
+        if self._suspect(digest).add(end):
             self._own.add(digest)
             self._due.add(digest, FORWARDED_TO[Source.OWN])
 
@@ -136,15 +140,15 @@
             self._server_ends.append(end)
             del self._server_ends[:-MAX_SERVER_ENDS]
 
-    def _suspect(self, digest: RequestDigest, now: float) -> Suspect:
+    def _suspect(self, digest: RequestDigest) -> Suspect:
         suspect = self.suspects.get(digest)
         if suspect is None:
             if len(self.suspects) >= MAX_SUSPECTS:
-                self._displace(now)
+                self._displace()
             suspect = self.suspects[digest] = Suspect()
         return suspect
 
-    def _displace(self, now: float) -> None:
+    def _displace(self) -> None:
         """Forget the request with the fewest ends, of several the one whose last end is oldest."""
 
         def weight(digest: RequestDigest) -> tuple[int, float]:
@@ -275,14 +279,19 @@
         """Add what other gateways know."""
         for report in reports:
             ends = [
-                ServerEnd(server=end.server, at=now - end.age_ms / 1000)
+                ServerEnd(
+                    server=end.server,
+                    at=now - end.age_ms / 1000,
+                    ran_s=max(0, end.ran_ms) / 1000,
+                    reporter=end.reporter,
+                )
                 for end in report.ends[:MAX_ENDS]
                 if 0 <= end.age_ms <= QUARANTINE_MEMORY_S * 1000
             ]
             cleared_age_ms = report.cleared_age_ms
             if not ends and report.digest not in self.suspects:
                 continue
-            suspect = self._suspect(report.digest, now)
+            suspect = self._suspect(report.digest)
             is_news = False
             if cleared_age_ms is not None and cleared_age_ms >= 0:
                 is_news = suspect.clear(now - cleared_age_ms / 1000)
@@ -336,7 +345,15 @@
     has_run = suspect.cleared_at > float("-inf")
     return SuspectReport(
         digest=digest,
-        ends=[EndReport(server=end.server, age_ms=_age_ms(end.at, now)) for end in suspect.ends],
+        ends=[
+            EndReport(
+                server=end.server,
+                age_ms=_age_ms(end.at, now),
+                ran_ms=round(end.ran_s * 1000),
+                reporter=end.reporter,
+            )
+            for end in suspect.ends
+        ],
         cleared_age_ms=_age_ms(suspect.cleared_at, now) if has_run else None,
     )
 
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -132,3 +132,25 @@
     assert not suspect.add(ServerEnd(server="late report", at=3.5))
     assert suspect.add(ServerEnd(server="s", at=4.5))
     assert not suspect.clear(4.0)
+
+
+def test_often_repeated_request_is_not_the_cause_of_a_common_loss():
+    # It ran on each of the servers that ended together, for all gateways.
+    ends = [
+        ServerEnd(server=f"s-{index}", at=10.0 + index / 50, ran_s=0.3, reporter=index)
+        for index in range(12)
+    ]
+    suspect = Suspect()
+    for end in ends:
+        suspect.add(end)
+    assert not explains_its_ends(suspect, [])
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.04])
+def test_runs_at_different_gateways_need_a_margin(delay_s):
+    # How long a report was on its way is not known.
+    suspect = make_suspect(10.0, 10.4)
+    suspect.add(ServerEnd(server="near", at=10.5 + delay_s, ran_s=0.05, reporter=7))
+    assert not explains_its_ends(suspect, [])
+    suspect.add(ServerEnd(server="far", at=10.6, ran_s=0.05, reporter=7))
+    assert explains_its_ends(suspect, [])
