--- a/knapweeddock/gateway/quarantine.py
+++ b/knapweeddock/gateway/quarantine.py
@@ -4,10 +4,10 @@
 at any gateway, among requests that were lost with it by chance.
 
 A request with an end is a suspect: it runs one at a time, on an idle server if there is one,
-and is not sent to another server if that one ends. With ``QUARANTINE_ENDS`` ends it is refused.
-Ends do not count while as many other servers end that it has not run on, as when a failure
-domain loses power. A refused request gets a trial ``TRIAL_DELAYS_S`` after its last end, by one
-gateway after the other, so that one that was there by chance is cleared.
+and is not sent to another server if that one ends. When ``QUARANTINE_ENDS`` servers have ended
+under it one after the other, it is refused (``suspect`` tells which ends count). A refused
+request gets a trial ``TRIAL_DELAYS_S`` after its last end, by one gateway after the other, so
+that one that was there by chance is cleared.
 """
 
 from collections.abc import Collection
--- a/knapweeddock/gateway/registrations.py
+++ b/knapweeddock/gateway/registrations.py
@@ -5,6 +5,9 @@
 ``GATEWAY_EXPIRY_S`` without any sign of life. A gateway that watches the store and
 finds its own registration missing writes it again. If the store comes back from an
 older copy that lacks the registration, each gateway writes its own at once.
+
+A gateway keeps the refused requests of which it has evidence in its registration, for
+gateways that start later or reach only the store, and takes them over when it starts again.
 """
 
 import asyncio
