--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import socket
 import time
 from collections.abc import AsyncIterator
@@ -19,6 +20,10 @@
 from tests.http1.scripted import read_head
 from tests.waiting import until
 
+GATEWAY_PORTS = (22_000, 32_000)
+"""Ports of gateways, below those that the system gives to outgoing connections: one that is
+chosen there may be taken before the gateway binds it."""
+
 
 @dataclass(kw_only=True)
 class Reply:
@@ -148,10 +153,15 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now and that no outgoing connection is given meanwhile."""
+    while True:
+        port = random.randrange(*GATEWAY_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def settings_for(store: str, **changes: str) -> str:
