--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -20,9 +20,9 @@
 from tests.http1.scripted import read_head
 from tests.waiting import until
 
-GATEWAY_PORTS = (22_000, 32_000)
-"""Ports of gateways, below those that the system gives to outgoing connections: one that is
-chosen there may be taken before the gateway binds it."""
+GATEWAY_PORTS = (32_000, 32_768)
+"""Ports of gateways, above those of processes that tests start and below those that the system
+gives to outgoing connections, which would take one before the gateway binds it."""
 
 
 @dataclass(kw_only=True)
