Let the long response of a test exceed larger socket buffers

test_server_that_ends_in_the_middle_of_a_long_response_is_counted failed three times of three on, on a system whose receive buffers grow to 32 MiB: the whole response of 30 MB was in them when its server ended, so that no connection was lost. 120 MB do not fit. What is checked stays the same.

--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -26,6 +26,10 @@
     return tmp_path / "boot.toml"
 
 
+LONG_BYTES = 120_000_000
+"""Size of a response that the socket buffers between a server and a gateway do not hold."""
+
+
 def end_servers_under(world: World, request_ids: list[str], *, delay_s: float = 0.0) -> None:
     """Let each server end when it runs a request with one of the identifiers."""
     loop = asyncio.get_running_loop()
@@ -144,7 +148,7 @@
     async with running_world(settings_path, servers=3) as world:
         end_servers_under(world, ["long"], delay_s=0.1)
         _, writer = await world.connect()
-        writer.write(request_bytes("/read/a?size=30000000", request_id="long"))
+        writer.write(request_bytes(f"/read/a?size={LONG_BYTES}", request_id="long"))
         await until(lambda: not world.gateway.notice_board.suspects.is_empty)
         assert world.gateway.notice_board.suspects.counts()["suspected"] == 1
         assert len(world.ran()) == 1
