Move the context and the responses of requests out of the forwarder

attempttracker, decisionlog and forward formed a circle that was tied by the type of the context. The context has a module below them now, the responses one beside the attempts, and connections to servers are opened in one place, so that a test can take them from one gateway.

--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -2,22 +2,19 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING
 
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
 from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.demand import SpilloverController
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.processingtimes import ProcessingTimes
+from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
 from knapweeddock.gateway.selection import INTER_REGION_RTT_S, Selection
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.settings import GatewayLimits
 from knapweeddock.ids import ServiceId
 
-if TYPE_CHECKING:
-    from knapweeddock.gateway.forward import RequestContext
-
 MAX_EXTRA_UNREACHABLE = 2
 """Number of servers beyond the route's ``max_attempts`` that may be tried in place of
 unreachable ones."""
@@ -78,7 +75,7 @@
 
     def record_result(
         self,
-        context: "RequestContext",
+        context: RequestContext,
         selection: Selection,
         result: AttemptResult,
         *,
@@ -140,7 +137,7 @@
 
     def _record_response_time(
         self,
-        context: "RequestContext",
+        context: RequestContext,
         selection: Selection,
         result: AttemptResult,
         elapsed_s: float,
@@ -171,7 +168,7 @@
                 context.route, context.service, processing_s=processing_s
             )
 
-    def try_acquire_retry(self, context: "RequestContext", result: AttemptResult) -> bool:
+    def try_acquire_retry(self, context: RequestContext, result: AttemptResult) -> bool:
         """Return whether the request may be sent to one more server, and count the retry.
 
         An attempt after an unreachable server does not count. One after a misdirected
--- a/knapweeddock/gateway/connectionpool.py
+++ b/knapweeddock/gateway/connectionpool.py
@@ -1,15 +1,12 @@
 """Pool of idle keep-alive connections to backend servers."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 
 from knapweeddock.gateway.records import ServerEntry
-from knapweeddock.http1.client import HttpClientConnection, connect
+from knapweeddock.http1.client import HttpClientConnection
 from knapweeddock.ids import ServerId
 
-CONNECT_TIMEOUT_S = 0.25
-"""Connect timeout in seconds; a round trip to another region takes 24 ms."""
-
 DEFAULT_IDLE_TIMEOUT_S = 8.0
 """Idle time in seconds after which a connection is no longer reused, for servers
 that do not announce a keep-alive timeout."""
@@ -30,12 +27,19 @@
     """Idle connections by server; the most recently used one is reused first.
 
     Attributes:
+        connect: Opens a connection to a server, or raises ``PeerUnavailable``.
         get_max_idle: Returns how many idle connections to a server are kept.
         connections_opened: Number of connections opened since the start, including
             failed connection attempts.
     """
 
-    def __init__(self, *, get_max_idle: Callable[[ServerEntry], int]) -> None:
+    def __init__(
+        self,
+        *,
+        connect: Callable[[ServerEntry], Awaitable[HttpClientConnection]],
+        get_max_idle: Callable[[ServerEntry], int],
+    ) -> None:
+        self.connect = connect
         self.get_max_idle = get_max_idle
         self.connections_opened = 0
         self._idle: dict[ServerId, list[HttpClientConnection]] = {}
@@ -55,7 +59,7 @@
         if reused is not None:
             return reused
         self.connections_opened += 1
-        return await connect(entry.address, timeout_s=CONNECT_TIMEOUT_S)
+        return await self.connect(entry)
 
     def _acquire_idle(self, entry: ServerEntry, *, idempotent: bool) -> HttpClientConnection | None:
         idle = self._idle.get(entry.server)
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -5,7 +5,6 @@
 """
 
 import time
-from typing import TYPE_CHECKING
 
 import structlog
 
@@ -13,14 +12,12 @@
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
 from knapweeddock.gateway.metrics import NO_ROUTE, GatewayMetrics, RequestLabels
 from knapweeddock.gateway.quarantine import Quarantined, Suspected
+from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.selection import Selection
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
 from knapweeddock.ids import ServerId
 
-if TYPE_CHECKING:
-    from knapweeddock.gateway.forward import RequestContext
-
 log = structlog.get_logger(__name__)
 
 MAX_LINES_PER_S = 50
@@ -43,7 +40,7 @@
         self._current_second = 0
         self._lines_this_second = 0
 
-    def record_delivery(self, context: "RequestContext", status: int, *, error: str = "") -> None:
+    def record_delivery(self, context: RequestContext, status: int, *, error: str = "") -> None:
         """Record a server's response that was sent to the client.
 
         Args:
@@ -64,7 +61,7 @@
             reason=error,
         )
 
-    def record_client_disconnect(self, context: "RequestContext") -> None:
+    def record_client_disconnect(self, context: RequestContext) -> None:
         """Record a client that disconnected before its response was complete."""
         self._count(context.request, context, "left", "client_gone")
         if self._admit_line():
@@ -83,7 +80,7 @@
         code: ResultCode,
         retry_after_s: float,
         *,
-        context: "RequestContext | None" = None,
+        context: RequestContext | None = None,
         best: Selection | None = None,
     ) -> None:
         """Record a request that was rejected without having run, and the reasons."""
@@ -105,7 +102,7 @@
         status: int,
         code: ResultCode,
         *,
-        context: "RequestContext | None" = None,
+        context: RequestContext | None = None,
     ) -> None:
         """Record a request to which the gateway itself responded with an error."""
         self._count(request, context, "failed", code.name.lower())
@@ -121,7 +118,7 @@
 
     def record_attempt(
         self,
-        context: "RequestContext",
+        context: RequestContext,
         selection: Selection,
         result: AttemptResult,
         *,
@@ -153,7 +150,7 @@
         )
 
     def record_suspect(
-        self, context: "RequestContext", outgoing: OutgoingRequest, verdict: Suspected
+        self, context: RequestContext, outgoing: OutgoingRequest, verdict: Suspected
     ) -> None:
         """Record that a request runs although servers have ended under it before."""
         if self._admit_line():
@@ -166,7 +163,7 @@
             )
 
     def record_quarantine(
-        self, context: "RequestContext", outgoing: OutgoingRequest, verdict: Quarantined
+        self, context: RequestContext, outgoing: OutgoingRequest, verdict: Quarantined
     ) -> None:
         """Record that a request was refused because servers have ended under it before."""
         code = ResultCode.QUARANTINED
@@ -195,7 +192,7 @@
             )
 
     def _count(
-        self, request: IncomingRequest, context: "RequestContext | None", outcome: str, reason: str
+        self, request: IncomingRequest, context: RequestContext | None, outcome: str, reason: str
     ) -> None:
         route = context.route.route if context is not None else NO_ROUTE
         labels = RequestLabels(route=route, outcome=outcome, reason=reason)
@@ -217,7 +214,7 @@
     return round(time.monotonic() - request.arrived_at, 4)
 
 
-def _decision_fields(context: "RequestContext | None", best: Selection | None) -> dict[str, object]:
+def _decision_fields(context: RequestContext | None, best: Selection | None) -> dict[str, object]:
     """Return the log fields on which a decision about a request was based.
 
     Args:
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 from http import HTTPStatus
 
-import structlog
-
 from knapweeddock.codes import ResultCode
-from knapweeddock.errors import IncompleteRequest, IncompleteResponse, ResponseError
+from knapweeddock.errors import IncompleteRequest
 from knapweeddock.gateway.attempt import (
     AttemptOutcome,
     AttemptResult,
@@ -18,18 +15,16 @@
 from knapweeddock.gateway.attempttracker import AttemptTracker
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.quarantine import Quarantined, Suspected, Unsuspected
+from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.requestdigest import split_target
 from knapweeddock.gateway.requestguard import RequestGuard
-from knapweeddock.gateway.routes import Route
+from knapweeddock.gateway.responder import Responder
 from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
 from knapweeddock.gateway.serverselection import ServerSelector
-from knapweeddock.gateway.wire import RequestMetadata, WireFormat
+from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.responsewriter import ResponseState
 from knapweeddock.http1.server import IncomingRequest
-from knapweeddock.ids import ServerId, ServiceId, Version
-
-log = structlog.get_logger(__name__)
 
 RETRY_BUFFER_BYTES = 64 * 1024
 """Size in bytes up to which request bodies are buffered so that a retry can send them
@@ -48,50 +43,6 @@
 """Time in seconds after the deadline in which the gateway still accepts a response
 that the server sent at the last moment."""
 
-NOT_RUN_STATUSES = frozenset(
-    {
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-    }
-)
-"""Response statuses by which clients conclude that a request has not run."""
-
-
-@dataclass(kw_only=True, slots=True)
-class RequestContext:
-    """State of a request while the gateway handles it.
-
-    Attributes:
-        request: The client's request.
-        metadata: Metadata from the request's headers.
-        config_version: Version of the configuration that the route is from.
-        route: Route that the request matches.
-        service: Service that runs the request.
-        deadline: Monotonic time at which the request times out.
-        tried: Servers selected so far, including unreachable ones.
-        sent_attempts: Number of attempts that reached a server.
-        is_suspect: Whether servers have ended under the same request before, so that it is not
-            sent to another one if its server ends.
-        response_lost: Whether the request may have run at a server whose response
-            was lost.
-        fallback_response: A server's error response after which a retry was allowed.
-            It is delivered if no later attempt brings a response.
-    """
-
-    request: IncomingRequest
-    metadata: RequestMetadata
-    config_version: Version
-    route: Route
-    service: ServiceId
-    deadline: float
-    tried: list[ServerId]
-    sent_attempts: int = 0
-    is_suspect: bool = False
-    response_lost: bool = False
-    fallback_response: AttemptResult | None = None
-
 
 class Forwarder:
     """Request handler of a gateway.
@@ -111,6 +62,7 @@
         attempt_tracker: AttemptTracker,
         decision_log: DecisionLog,
         request_guard: RequestGuard,
+        responder: Responder,
     ) -> None:
         self.routing_state = routing_state
         self.wire = wire
@@ -119,6 +71,7 @@
         self.attempt_tracker = attempt_tracker
         self.decision_log = decision_log
         self.request_guard = request_guard
+        self.responder = responder
         self.reject_new_requests = False
 
     async def handle(self, request: IncomingRequest) -> None:
@@ -127,15 +80,19 @@
         config = self.routing_state.config
         if config is None or not self.routing_state.fleet.is_loaded or self.reject_new_requests:
             code = ResultCode.DRAINING if self.reject_new_requests else ResultCode.NOT_READY
-            self._reject(request, metadata, code, retry_after_s=NOT_READY_RETRY_AFTER_S)
+            self.responder.reject(request, metadata, code, retry_after_s=NOT_READY_RETRY_AFTER_S)
             return
         host_and_path = _host_and_path(request)
         if host_and_path is None:
-            self._respond_error(request, metadata, HTTPStatus.BAD_REQUEST, ResultCode.BAD_REQUEST)
+            self.responder.fail_unrouted(
+                request, metadata, HTTPStatus.BAD_REQUEST, ResultCode.BAD_REQUEST
+            )
             return
         route = config.match(*host_and_path)
         if route is None:
-            self._respond_error(request, metadata, HTTPStatus.NOT_FOUND, ResultCode.UNKNOWN_SERVICE)
+            self.responder.fail_unrouted(
+                request, metadata, HTTPStatus.NOT_FOUND, ResultCode.UNKNOWN_SERVICE
+            )
             return
         timeout_s = DEFAULT_TIMEOUT_S if metadata.timeout_s is None else metadata.timeout_s
         timeout_s = min(timeout_s, route.timeout_s)
@@ -169,11 +126,9 @@
 
     def _respond_timeout(self, context: RequestContext) -> None:
         if context.tried:
-            self._respond_routed_error(
-                context, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN
-            )
+            self.responder.fail(context, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN)
         else:
-            self._reject(
+            self.responder.reject(
                 context.request,
                 context.metadata,
                 ResultCode.DEADLINE_PASSED,
@@ -198,7 +153,7 @@
                 with self.request_guard.running(outgoing):
                     await self._try_servers(context, outgoing)
             case Quarantined() as verdict:
-                self._refuse_suspect(context, outgoing, verdict)
+                self.responder.refuse_suspect(context, outgoing, verdict)
 
     async def _try_servers(self, context: RequestContext, outgoing: OutgoingRequest) -> None:
         """Send the request to one server after the other until there is a response for it."""
@@ -288,14 +243,14 @@
     ) -> None:
         """Respond with the result of the last attempt."""
         if result.outcome is AttemptOutcome.RESPONSE:
-            await self._deliver_response(context, result)
+            await self.responder.deliver(context, result)
         elif context.fallback_response is not None:
-            await self._deliver_response(context, context.fallback_response)
+            await self.responder.deliver(context, context.fallback_response)
         elif context.response_lost or result.outcome is AttemptOutcome.LOST:
-            self._respond_routed_error(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            self.responder.fail(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
         else:
             retry_after_s = self.server_selector.rejections.retry_after_s(selection.wait_s)
-            self._reject(
+            self.responder.reject(
                 context.request,
                 context.metadata,
                 ResultCode.SHED,
@@ -307,11 +262,11 @@
     async def _respond_without_server(self, context: RequestContext, rejection: Rejection) -> None:
         """Respond to a request for which no server is available (any more)."""
         if context.fallback_response is not None:
-            await self._deliver_response(context, context.fallback_response)
+            await self.responder.deliver(context, context.fallback_response)
         elif context.response_lost:
-            self._respond_routed_error(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            self.responder.fail(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
         else:
-            self._reject(
+            self.responder.reject(
                 context.request,
                 context.metadata,
                 rejection.code,
@@ -320,83 +275,6 @@
                 best=rejection.best,
             )
 
-    async def _deliver_response(self, context: RequestContext, result: AttemptResult) -> None:
-        """Send a server's response to the client."""
-        head = result.head
-        if not context.route.idempotent and head.status in NOT_RUN_STATUSES:
-            # To the client this status would mean that the request has not run.
-            self._respond_routed_error(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
-            return
-        response = context.request.response
-        headers = self.wire.forwarded_response_headers(head)
-        if result.body_complete:
-            length = (
-                head.content_length if context.request.head.method == b"HEAD" else len(result.body)
-            )
-            response.start(head.status, headers, content_length=length, body=result.body)
-            response.finish()
-            self.decision_log.record_delivery(context, head.status)
-            return
-        response.start(head.status, headers, content_length=head.content_length, body=result.body)
-        connection = result.connection
-        try:
-            while chunk := await connection.read():
-                await response.write(chunk)
-        except ResponseError as error:
-            result.connection_lost = isinstance(error, IncompleteResponse)
-            self.decision_log.record_delivery(context, head.status, error=str(error))
-            response.abort()
-            return
-        finally:
-            self.attempt_runner.pool.release(result.entry, connection)
-        response.finish()
-        self.decision_log.record_delivery(context, head.status)
-
-    def _reject(
-        self,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
-        code: ResultCode,
-        *,
-        retry_after_s: float,
-        context: RequestContext | None = None,
-        best: Selection | None = None,
-    ) -> None:
-        """Respond that the request has not run and will not run."""
-        headers = self.wire.error_headers(metadata, retry_after_s=retry_after_s)
-        request.response.send(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        self.decision_log.record_rejection(
-            request, metadata, code, retry_after_s, context=context, best=best
-        )
-
-    def _refuse_suspect(
-        self, context: RequestContext, outgoing: OutgoingRequest, verdict: Quarantined
-    ) -> None:
-        """Respond that a request has not run because servers have ended under it before."""
-        headers = self.wire.error_headers(context.metadata, retry_after_s=verdict.retry_after_s)
-        context.request.response.send(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        self.decision_log.record_quarantine(context, outgoing, verdict)
-
-    def _respond_error(
-        self,
-        request: IncomingRequest,
-        metadata: RequestMetadata,
-        status: HTTPStatus,
-        code: ResultCode,
-    ) -> None:
-        """Respond with an error to a request that cannot be routed."""
-        request.response.send(status, self.wire.error_headers(metadata, retry_after_s=None))
-        self.decision_log.record_error(request, metadata, status, code)
-
-    def _respond_routed_error(
-        self, context: RequestContext, status: HTTPStatus, code: ResultCode
-    ) -> None:
-        headers = self.wire.error_headers(context.metadata, retry_after_s=None)
-        context.request.response.send(status, headers)
-        self.decision_log.record_error(
-            context.request, context.metadata, status, code, context=context
-        )
-
 
 def _host_and_path(request: IncomingRequest) -> tuple[str, str] | None:
     """Return host and path of a request.
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -9,11 +9,10 @@
 
 from knapweeddock.errors import PeerUnavailable, ResponseError
 from knapweeddock.gateway.coldreports import ColdBoard
-from knapweeddock.gateway.connectionpool import CONNECT_TIMEOUT_S
 from knapweeddock.gateway.fleet import ServerState
 from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.serverconnector import ServerConnector
 from knapweeddock.gateway.wire import ResponseMetadata, WireFormat
-from knapweeddock.http1.client import connect
 from knapweeddock.http1.messages import encode_request_head
 from knapweeddock.ids import ServerId
 
@@ -27,13 +26,20 @@
     """Probes unreachable servers until they respond, and learns how long they stay cold.
 
     Attributes:
+        connector: Opens connections to servers.
         cold_board: Shares what the probes tell with the other gateways.
         probes_sent: Number of probes since the start.
     """
 
     def __init__(
-        self, *, routing_state: RoutingState, wire: WireFormat, cold_board: ColdBoard
+        self,
+        *,
+        connector: ServerConnector,
+        routing_state: RoutingState,
+        wire: WireFormat,
+        cold_board: ColdBoard,
     ) -> None:
+        self.connector = connector
         self.routing_state = routing_state
         self.wire = wire
         self.cold_board = cold_board
@@ -80,7 +86,7 @@
 
     async def _has_ended(self, state: ServerState) -> bool:
         try:
-            connection = await connect(state.entry.address, timeout_s=CONNECT_TIMEOUT_S)
+            connection = await self.connector.connect(state.entry)
         except PeerUnavailable as error:
             self._record_unreachable(state)
             log.info("server has ended", server=state.entry.server, reason=str(error))
@@ -167,7 +173,7 @@
         )
         if policy is None:
             return None
-        connection = await connect(entry.address, timeout_s=CONNECT_TIMEOUT_S)
+        connection = await self.connector.connect(entry)
         try:
             host = f"{entry.address[0]}:{entry.address[1]}".encode()
             headers = [(b"Host", host), (b"Connection", b"close")]
--- /dev/null
+++ b/knapweeddock/gateway/responder.py
@@ -0,0 +1,117 @@
+"""Responds to clients: with the responses of servers, with refusals and with errors."""
+
+from http import HTTPStatus
+
+from knapweeddock.codes import ResultCode
+from knapweeddock.errors import IncompleteResponse, ResponseError
+from knapweeddock.gateway.attempt import AttemptResult, OutgoingRequest
+from knapweeddock.gateway.connectionpool import ConnectionPool
+from knapweeddock.gateway.decisionlog import DecisionLog
+from knapweeddock.gateway.quarantine import Quarantined
+from knapweeddock.gateway.requestcontext import RequestContext
+from knapweeddock.gateway.selection import Selection
+from knapweeddock.gateway.wire import RequestMetadata, WireFormat
+from knapweeddock.http1.server import IncomingRequest
+
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+    }
+)
+"""Response statuses by which clients conclude that a request has not run."""
+
+
+class Responder:
+    """Writes responses to clients, and records each in the decision log.
+
+    Attributes:
+        wire: Format of the responses' headers.
+        pool: Connections on which the responses of servers arrive.
+        decision_log: Log of decisions about requests.
+    """
+
+    def __init__(
+        self, *, wire: WireFormat, pool: ConnectionPool, decision_log: DecisionLog
+    ) -> None:
+        self.wire = wire
+        self.pool = pool
+        self.decision_log = decision_log
+
+    async def deliver(self, context: RequestContext, result: AttemptResult) -> None:
+        """Send a server's response to the client."""
+        head = result.head
+        if not context.route.idempotent and head.status in NOT_RUN_STATUSES:
+            # To the client this status would mean that the request has not run.
+            self.fail(context, HTTPStatus.BAD_GATEWAY, ResultCode.SERVER_LOST)
+            return
+        response = context.request.response
+        headers = self.wire.forwarded_response_headers(head)
+        if result.body_complete:
+            length = (
+                head.content_length if context.request.head.method == b"HEAD" else len(result.body)
+            )
+            response.start(head.status, headers, content_length=length, body=result.body)
+            response.finish()
+            self.decision_log.record_delivery(context, head.status)
+            return
+        response.start(head.status, headers, content_length=head.content_length, body=result.body)
+        connection = result.connection
+        try:
+            while chunk := await connection.read():
+                await response.write(chunk)
+        except ResponseError as error:
+            result.connection_lost = isinstance(error, IncompleteResponse)
+            self.decision_log.record_delivery(context, head.status, error=str(error))
+            response.abort()
+            return
+        finally:
+            self.pool.release(result.entry, connection)
+        response.finish()
+        self.decision_log.record_delivery(context, head.status)
+
+    def reject(
+        self,
+        request: IncomingRequest,
+        metadata: RequestMetadata,
+        code: ResultCode,
+        *,
+        retry_after_s: float,
+        context: RequestContext | None = None,
+        best: Selection | None = None,
+    ) -> None:
+        """Respond that the request has not run and will not run."""
+        headers = self.wire.error_headers(metadata, retry_after_s=retry_after_s)
+        request.response.send(HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        self.decision_log.record_rejection(
+            request, metadata, code, retry_after_s, context=context, best=best
+        )
+
+    def refuse_suspect(
+        self, context: RequestContext, outgoing: OutgoingRequest, verdict: Quarantined
+    ) -> None:
+        """Respond that a request has not run because servers have ended under it before."""
+        headers = self.wire.error_headers(context.metadata, retry_after_s=verdict.retry_after_s)
+        context.request.response.send(HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        self.decision_log.record_quarantine(context, outgoing, verdict)
+
+    def fail_unrouted(
+        self,
+        request: IncomingRequest,
+        metadata: RequestMetadata,
+        status: HTTPStatus,
+        code: ResultCode,
+    ) -> None:
+        """Respond with an error to a request that cannot be routed."""
+        request.response.send(status, self.wire.error_headers(metadata, retry_after_s=None))
+        self.decision_log.record_error(request, metadata, status, code)
+
+    def fail(self, context: RequestContext, status: HTTPStatus, code: ResultCode) -> None:
+        """Respond with an error to a request that may have run."""
+        headers = self.wire.error_headers(context.metadata, retry_after_s=None)
+        context.request.response.send(status, headers)
+        self.decision_log.record_error(
+            context.request, context.metadata, status, code, context=context
+        )
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -31,7 +31,9 @@
 from knapweeddock.gateway.registrations import Registrations
 from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
 from knapweeddock.gateway.requestguard import RequestGuard
+from knapweeddock.gateway.responder import Responder
 from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.serverconnector import ServerConnector
 from knapweeddock.gateway.serverquotas import ServerQuotas
 from knapweeddock.gateway.serverreports import ReportBoard
 from knapweeddock.gateway.serverselection import ServerSelector
@@ -79,13 +81,19 @@
             fleet=Fleet(), return_hold_s=settings.limits.return_hold_s
         )
         self.processing_times = ProcessingTimes()
-        self.connection_pool = ConnectionPool(get_max_idle=self._max_idle_connections)
+        self.server_connector = ServerConnector()
+        self.connection_pool = ConnectionPool(
+            connect=self.server_connector.connect, get_max_idle=self._max_idle_connections
+        )
         self.metrics = GatewayMetrics(vm=settings.vm)
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
         self.notice_board = make_notice_board(self.routing_state.fleet)
         self.prober = Prober(
-            routing_state=self.routing_state, wire=wire, cold_board=self.notice_board.cold
+            connector=self.server_connector,
+            routing_state=self.routing_state,
+            wire=wire,
+            cold_board=self.notice_board.cold,
         )
         self.stall_watch = watch_from_now(MAINTENANCE_INTERVAL_S)
         self._pruned_revision = -1
@@ -221,6 +229,9 @@
                 gateway_vms=self.quota_members.all_vms,
                 decision_log=self.decision_log,
             ),
+            responder=Responder(
+                wire=self.wire, pool=self.connection_pool, decision_log=self.decision_log
+            ),
         )
 
     def _build_listeners(self) -> None:
