Give each port to one gateway of the tests only

Two entries of KNOWN-RED.txt, and one start in some 60 elsewhere, were gateways that did not serve and had logged nothing. Ports were drawn at random from 768, five a gateway: two of them are the same once in 77 gateways, and the listener that comes second cannot bind, before the first line of the log. The new test drew the same port twice among 40. Ports are now given out in turns, and each test process has its own.

--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
+import os
 import random
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -24,6 +26,9 @@
 """Ports of gateways, above those of processes that tests start and below those that the system
 gives to outgoing connections, which would take one before the gateway binds it."""
 
+TEST_PROCESSES = 8
+"""Number of test processes among which the ports are divided."""
+
 
 @dataclass(kw_only=True)
 class Reply:
@@ -152,16 +157,27 @@
     return Reply(status=int(status_line.split()[1]), headers=headers, body=body)
 
 
+def _own_ports() -> Iterator[int]:
+    """Return the ports of this test process, in turns, so that no two uses are close together."""
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % TEST_PROCESSES
+    ports = list(range(*GATEWAY_PORTS))[worker::TEST_PROCESSES]
+    random.shuffle(ports)
+    return itertools.cycle(ports)
+
+
+_ports = _own_ports()
+
+
 def free_port() -> int:
-    """Return a port that is free now and that no outgoing connection is given meanwhile."""
-    while True:
-        port = random.randrange(*GATEWAY_PORTS)
+    """Return a port that is free now and that nobody else is given meanwhile."""
+    for port in _ports:
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
         return port
+    raise AssertionError("no port is left")
 
 
 def settings_for(store: str, **changes: str) -> str:
