Let a gateway that watches the store hear of those that joined behind a relay

Found with the tests of gateways that are cut off: in a region of two, of which each watches the store, a third gateway subscribes to one of them and sends its heartbeats only there. Relays of small regions now send the summary of their region to its gateways as well, which tells who lives.

--- a/knapweeddock/gateway/liveness.py
+++ b/knapweeddock/gateway/liveness.py
@@ -65,8 +65,10 @@
         self._heard[member.vm] = HeardHeartbeat(heartbeat=heartbeat, heard_at=now)
 
     def record_sample(self, members: Iterable[Member], now: float) -> None:
-        """Record gateways of another region that a summary of that region names."""
+        """Record gateways that the summary of a region names."""
         for member in members:
+            if member.vm == self.vm:
+                continue
             self._sampled[member.vm] = _ToldMember(member=member, told_at=now)
 
     def confirm_relay(self, now: float) -> None:
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/peers.py
@@ -29,6 +29,11 @@
 NOTICE_INTERVAL_S = 0.2
 """Interval in seconds at which notices are sent that have become due."""
 
+MAX_SUMMARIZED_REGION = 8
+"""Largest number of gateways of a region in which relays also send summaries to the gateways of
+their own region. One that takes the region for too small for relays, and watches the store,
+hears no heartbeats of those that have joined and subscribed to a relay."""
+
 MAX_OTHER_REGION_RECEIVERS = 4
 """Maximum number of gateways of each other region that get heartbeats or summaries."""
 
@@ -91,10 +96,12 @@
     def _source(self, region: RegionId) -> Source:
         if region != self.entry.region:
             return Source.OTHER_REGION
-        size = sum(entry.region == region for entry in self.gateways().values())
-        reaches_all = size - 1 <= MAX_OWN_REGION_RECEIVERS
+        reaches_all = self._region_size() - 1 <= MAX_OWN_REGION_RECEIVERS
         return Source.NEAR_PEER if reaches_all else Source.SPREADING_PEER
 
+    def _region_size(self) -> int:
+        return sum(entry.region == self.entry.region for entry in self.gateways().values())
+
     def error_received(self, error: OSError) -> None:
         """Log that a datagram was not delivered, such as one to a gateway that has exited."""
         log.debug("heartbeat not delivered", error=str(error))
@@ -113,10 +120,13 @@
         if self.is_relay():
             now = asyncio.get_running_loop().time()
             summary = self._encoder.encode(self.feed.summary(now))
+        is_small = self._region_size() <= MAX_SUMMARIZED_REGION
         for entry in choose_receivers(self.entry, self.gateways().values()):
             is_near = entry.region == self.entry.region
-            data = heartbeat if is_near or summary is None else summary
-            self.transport.sendto(data, entry.peer_address)
+            if is_near or summary is None:
+                self.transport.sendto(heartbeat, entry.peer_address)
+            if summary is not None and (is_small or not is_near):
+                self.transport.sendto(summary, entry.peer_address)
 
     def send_notices(self, now: float) -> None:
         """Send the notices that are due to gateways that no relay tells.
--- a/knapweeddock/gateway/regionfeed.py
+++ b/knapweeddock/gateway/regionfeed.py
@@ -239,10 +239,10 @@
             self._heartbeats_due[member.vm] = heartbeat
 
     def record_summary(self, summary: RegionSummary, now: float) -> None:
-        """Record the summary of another region."""
+        """Record the summary of a region; of this one, it tells only which gateways live."""
+        self.liveness.record_sample(summary.members, now)
         if summary.region == self.region:
             return
-        self.liveness.record_sample(summary.members, now)
         self._told_demands[summary.region] = (summary.demand, now)
         self._summaries_due[summary.region] = summary
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -29,10 +29,10 @@
     """Records what is sent, by receiver."""
 
     def __init__(self) -> None:
-        self.sent: dict[tuple[str, int], object] = {}
+        self.sent: dict[tuple[str, int], list[object]] = {}
 
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        self.sent[address] = msgspec.msgpack.decode(data)[0]
+        self.sent.setdefault(address, []).append(msgspec.msgpack.decode(data)[0])
 
 
 async def test_heartbeats_arrive():
@@ -67,11 +67,20 @@
     peers.transport = RecordingTransport()
     peers.send()
     assert peers.transport.sent == {
-        ("10.0.0.3", 82): "heartbeat",
-        ("10.0.0.4", 82): "summary",
+        ("10.0.0.3", 82): ["heartbeat", "summary"],
+        ("10.0.0.4", 82): ["summary"],
     }
 
 
+async def test_relay_of_a_large_region_sends_no_summaries_in_it():
+    # Each gateway there knows enough others to have a relay, which tells it the same.
+    near = [make_gateway(f"g{each}", peer_address=("10.0.0.3", each)) for each in range(9)]
+    peers = make_peers("one", *near, relay=True)
+    peers.transport = RecordingTransport()
+    peers.send()
+    assert set(map(tuple, peers.transport.sent.values())) == {("heartbeat",)}
+
+
 def test_number_of_receivers_does_not_grow_with_the_fleet():
     near = [make_gateway(f"n{index}") for index in range(500)]
     far = [make_gateway(f"f{index}", region="south") for index in range(500)]
