Serve the callers of a gateway that reaches no server by way of a peer

What callers saw: 503 for as long as a gateway could not open connections to servers, though the other gateways reached both it and the servers; and refusals at those, which took the servers for cold.

Cause: a gateway did not know that a fault was its own. It could only use its own connections; one that was refused ended the use of those that worked; and it told the others that servers could not be reached, so that they limited warm servers to the rate of cold ones. Ruled out: the outage detection of the store and of relays (both stayed connected), look-ups (callers keep addresses for up to three times their lifetime, so that leaving a gateway out does not serve them).

Change: failures to connect are evidence of a server only if this gateway reaches others. They are withheld until a connection made afterwards shows that (reach, reachcheck); a check of four servers of different failure domains starts with the first failure, or when open connections have gone silent. A gateway that reaches none says so in its heartbeats, is left out of look-ups while others are not, and forwards requests to a peer that reaches servers (peerchoice, peerforwarder, peerattempts), on a port that gateways only may use, one hop and never two (forwardedrequests). A response from there also tells that the fault is its own: the evidence is dropped, and when half of the checked servers are reached twice in a row, the servers that failed meanwhile are used again. Requests are counted where clients send them, attempts and parts of limits where the servers are reached.

--- a/knapweeddock/codes.py
+++ b/knapweeddock/codes.py
@@ -39,6 +39,7 @@
     NO_SITE = 118
     NOT_READY = 119
     QUARANTINED = 120
+    PEER_BUSY = 121
 
     SERVER_LOST = 201
     DEADLINE_DURING_RUN = 202
@@ -132,6 +133,9 @@
     ResultCode.QUARANTINED: _not_run(
         503, "Backend servers have ended while they ran the same request before."
     ),
+    ResultCode.PEER_BUSY: _not_run(
+        503, "The peer to which the request was forwarded handles too many of them."
+    ),
     ResultCode.SERVER_LOST: _unknown(
         502, "The connection to the backend server was lost after the request was sent."
     ),
--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/attempt.py
@@ -13,12 +13,16 @@
     PeerUnavailable,
     ResponseError,
 )
-from knapweeddock.gateway.connectionpool import ConnectionPool
+from knapweeddock.gateway.connectionpool import ConnectionPool, Destination
 from knapweeddock.gateway.dividedlimit import SentRequest
-from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.gateway.requestdigest import request_digest
 from knapweeddock.gateway.selection import Selection
-from knapweeddock.gateway.wire import RequestMetadata, ResponseMetadata, WireFormat
+from knapweeddock.gateway.wire import (
+    HeaderList,
+    RequestMetadata,
+    ResponseMetadata,
+    WireFormat,
+)
 from knapweeddock.http1.client import HttpClientConnection
 from knapweeddock.http1.messages import (
     LAST_CHUNK,
@@ -60,7 +64,8 @@
 
     Attributes:
         outcome: What is known after the attempt.
-        entry: The server; None when there is no valid response.
+        destination: The server or peer; None when there is no valid response.
+        pool: Where the connection goes when the response has been read.
         head: Status line and headers of the response, if there is one.
         metadata: Metadata from the response's headers, also if the body was lost.
         body: The part of the response body that was read.
@@ -73,7 +78,8 @@
     """
 
     outcome: AttemptOutcome
-    entry: ServerEntry | None = None
+    destination: Destination | None = None
+    pool: ConnectionPool | None = None
     head: ResponseHead | None = None
     metadata: ResponseMetadata | None = None
     body: bytes = b""
@@ -87,6 +93,10 @@
         """Whether the server may have run the request."""
         return self.outcome in (AttemptOutcome.RESPONSE, AttemptOutcome.LOST)
 
+    def release(self) -> None:
+        """End the exchange, and keep its connection for another one if it can be reused."""
+        self.pool.release(self.destination, self.connection)
+
 
 @dataclass(frozen=True, kw_only=True)
 class OutgoingRequest:
@@ -150,34 +160,37 @@
                 return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
             sent.sent_at = time.monotonic()
             try:
-                result = await self._exchange(outgoing, selection, connection, remaining_s)
+                headers = self.wire.forwarded_request_headers(
+                    outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
+                )
+                result = await self.exchange(outgoing, connection, headers)
             except PeerUnavailable as error:
                 return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
             except ResponseError as error:
                 connection.abort()
-                return _lost(error)
+                return lost_result(error)
             except BaseException:
                 # The client disconnected or the deadline passed: closing the
                 # connection tells the server to stop working.
                 connection.abort()
                 raise
-        result.entry = entry
+        result.destination = entry
+        result.pool = self.pool
         if result.body_complete:
-            self.pool.release(entry, connection)
+            result.release()
         return result
 
-    async def _exchange(
-        self,
-        outgoing: OutgoingRequest,
-        selection: Selection,
-        connection: HttpClientConnection,
-        remaining_s: float,
+    async def exchange(
+        self, outgoing: OutgoingRequest, connection: HttpClientConnection, headers: HeaderList
     ) -> AttemptResult:
-        server_id = selection.server.entry.server
+        """Send a request with ``headers`` on a connection, and read the response.
+
+        Raises:
+            PeerUnavailable: The connection is closed; nothing was sent.
+            ResponseError: There is no valid response.
+        """
         head = outgoing.request.head
-        headers = self.wire.forwarded_request_headers(
-            head, server_id=server_id, remaining_s=remaining_s
-        )
+        headers = list(headers)
         chunked = False
         fully_buffered = outgoing.is_fully_buffered
         if fully_buffered:
@@ -228,7 +241,7 @@
             body, body_complete = await _read_body(connection, head)
         except ResponseError as error:
             connection.abort()
-            return _lost(error, metadata)
+            return lost_result(error, metadata)
         if metadata.misdirected:
             outcome = AttemptOutcome.MISDIRECTED
         elif metadata.not_run:
@@ -245,7 +258,8 @@
         )
 
 
-def _lost(error: ResponseError, metadata: ResponseMetadata | None = None) -> AttemptResult:
+def lost_result(error: ResponseError, metadata: ResponseMetadata | None = None) -> AttemptResult:
+    """Return the result of an attempt whose response was lost by ``error``."""
     return AttemptResult(
         outcome=AttemptOutcome.LOST,
         metadata=metadata,
--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -4,9 +4,9 @@
 from http import HTTPStatus
 
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
-from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.demand import SpilloverController
 from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.outages import Outages
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
@@ -35,7 +35,7 @@
         spillover_controller: Counts requests to measure the offered load.
         fleet: Backend servers.
         report_board: Shares the load of busy servers with the other gateways.
-        cold_board: Shares which servers cannot be reached with the other gateways.
+        outages: Learns which servers cannot be reached.
         gateway_count: Returns the number of registered gateways, this one included.
         now: Returns the monotonic time.
     """
@@ -48,7 +48,7 @@
         spillover_controller: SpilloverController,
         fleet: Fleet,
         report_board: ReportBoard,
-        cold_board: ColdBoard,
+        outages: Outages,
         gateway_count: Callable[[], int],
         now: Callable[[], float],
     ) -> None:
@@ -57,7 +57,7 @@
         self.spillover_controller = spillover_controller
         self.fleet = fleet
         self.report_board = report_board
-        self.cold_board = cold_board
+        self.outages = outages
         self.gateway_count = gateway_count
         self.now = now
         self._retry_budgets: dict[ServiceId, RetryBudgetShare] = {}
@@ -87,9 +87,11 @@
         if result.metadata is not None:
             self._record_server_state(selection, result, now)
         match result.outcome:
-            case AttemptOutcome.UNREACHABLE | AttemptOutcome.MISDIRECTED:
+            case AttemptOutcome.UNREACHABLE:
+                self.outages.record_unreachable(server, now)
+            case AttemptOutcome.MISDIRECTED:
                 server.health.record_unreachable(now)
-                self.cold_board.record_unreachable(server, now)
+                self.outages.cold_board.record_unreachable(server, now)
             case AttemptOutcome.LOST:
                 server.health.record_broken_connection(now)
             case AttemptOutcome.NOT_RUN:
@@ -119,6 +121,7 @@
         server = selection.server
         metadata = result.metadata
         server.health.responded_at = now
+        self.outages.reach.record_heard(now)
         server.observe_limit(metadata.limit_per_s, now)
         if metadata.load is not None:
             server.load.record_reported_load(
--- a/knapweeddock/gateway/connectionpool.py
+++ b/knapweeddock/gateway/connectionpool.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Collection
+from typing import Protocol
 
-from knapweeddock.gateway.records import ServerEntry
+from knapweeddock.gateway.records import Address
 from knapweeddock.http1.client import HttpClientConnection
-from knapweeddock.ids import ServerId
 
 DEFAULT_IDLE_TIMEOUT_S = 8.0
 """Idle time in seconds after which a connection is no longer reused, for servers
@@ -23,6 +23,18 @@
 a millisecond within the region."""
 
 
+class Destination(Protocol):
+    """A server, or a peer that serves requests in its place.
+
+    Attributes:
+        server: Its identifier.
+        address: Where it accepts connections.
+    """
+
+    server: str
+    address: Address
+
+
 class ConnectionPool:
     """Idle connections by server; the most recently used one is reused first.
 
@@ -36,15 +48,15 @@
     def __init__(
         self,
         *,
-        connect: Callable[[ServerEntry], Awaitable[HttpClientConnection]],
-        get_max_idle: Callable[[ServerEntry], int],
+        connect: Callable[[Destination], Awaitable[HttpClientConnection]],
+        get_max_idle: Callable[[Destination], int],
     ) -> None:
         self.connect = connect
         self.get_max_idle = get_max_idle
         self.connections_opened = 0
-        self._idle: dict[ServerId, list[HttpClientConnection]] = {}
+        self._idle: dict[str, list[HttpClientConnection]] = {}
 
-    async def acquire(self, entry: ServerEntry, *, idempotent: bool) -> HttpClientConnection:
+    async def acquire(self, entry: Destination, *, idempotent: bool) -> HttpClientConnection:
         """Return a connection to the server, a new one if no idle one can be reused.
 
         Args:
@@ -61,7 +73,7 @@
         self.connections_opened += 1
         return await self.connect(entry)
 
-    def _acquire_idle(self, entry: ServerEntry, *, idempotent: bool) -> HttpClientConnection | None:
+    def _acquire_idle(self, entry: Destination, *, idempotent: bool) -> HttpClientConnection | None:
         idle = self._idle.get(entry.server)
         now = asyncio.get_running_loop().time()
         while idle:
@@ -82,7 +94,7 @@
             return None
         return None
 
-    def release(self, entry: ServerEntry, connection: HttpClientConnection) -> None:
+    def release(self, entry: Destination, connection: HttpClientConnection) -> None:
         """End an exchange; keep the connection if it can be reused, else close it.
 
         Closes the least recently used idle connection of the server when there are
@@ -96,12 +108,12 @@
         if len(idle) > self.get_max_idle(entry):
             idle.pop(0).abort()
 
-    def retain_servers(self, server_ids: Collection[ServerId]) -> None:
+    def retain_servers(self, server_ids: Collection[str]) -> None:
         """Close the idle connections to all servers but those listed."""
         for server_id in [server_id for server_id in self._idle if server_id not in server_ids]:
             self.close_idle(server_id)
 
-    def close_idle(self, server_id: ServerId) -> None:
+    def close_idle(self, server_id: str) -> None:
         """Close the idle connections to a server."""
         for connection in self._idle.pop(server_id, ()):
             connection.abort()
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/decisionlog.py
@@ -10,13 +10,15 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
+from knapweeddock.gateway.forwardedmessages import ForwardedRequest
 from knapweeddock.gateway.metrics import NO_ROUTE, GatewayMetrics, RequestLabels
+from knapweeddock.gateway.peerforwarder import PeerReply
 from knapweeddock.gateway.quarantine import Quarantined, Suspected
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.selection import Selection
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
-from knapweeddock.ids import ServerId
+from knapweeddock.ids import ServerId, VmId
 
 log = structlog.get_logger(__name__)
 
@@ -149,6 +151,35 @@
             **_decision_fields(context, selection),
         )
 
+    def record_forwarded(self, context: RequestContext, peer: VmId, reply: PeerReply) -> None:
+        """Record what became of a request that was forwarded to a peer."""
+        told = reply.told
+        outcome = reply.result.outcome if told is None else told.origin
+        self.metrics.record_forwarded("sent", outcome.value)
+        if self._admit_line():
+            log.info(
+                "request forwarded to a peer",
+                request=context.metadata.request_id,
+                peer=peer,
+                end=outcome.value,
+                code=int(told.code) if told is not None else None,
+                reason=reply.result.reason,
+                peer_requests=told.active if told is not None else None,
+                **_decision_fields(context, None),
+            )
+
+    def record_carried(self, context: RequestContext, forwarded: ForwardedRequest) -> None:
+        """Record that a request of another gateway's client is served here."""
+        self.metrics.record_forwarded("received", "accepted")
+        if self._admit_line():
+            log.info(
+                "serving a request for a peer",
+                request=context.metadata.request_id,
+                peer=forwarded.origin,
+                peer_version=forwarded.version,
+                **_decision_fields(context, None),
+            )
+
     def record_suspect(
         self, context: RequestContext, outgoing: OutgoingRequest, verdict: Suspected
     ) -> None:
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -14,9 +14,13 @@
 )
 from knapweeddock.gateway.attempttracker import AttemptTracker
 from knapweeddock.gateway.decisionlog import DecisionLog
+from knapweeddock.gateway.dividedlimit import SentRequest
+from knapweeddock.gateway.peerattempts import PeerAttempts
 from knapweeddock.gateway.quarantine import Quarantined, Suspected, Unsuspected
+from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachcheck import ReachChecker
 from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.requestdigest import split_target
+from knapweeddock.gateway.requestdigest import host_and_path
 from knapweeddock.gateway.requestguard import RequestGuard
 from knapweeddock.gateway.responder import Responder
 from knapweeddock.gateway.routingstate import RoutingState
@@ -63,6 +67,9 @@
         decision_log: DecisionLog,
         request_guard: RequestGuard,
         responder: Responder,
+        reach: Reach,
+        reach_checker: ReachChecker,
+        peer_attempts: PeerAttempts,
     ) -> None:
         self.routing_state = routing_state
         self.wire = wire
@@ -72,6 +79,9 @@
         self.decision_log = decision_log
         self.request_guard = request_guard
         self.responder = responder
+        self.reach = reach
+        self.reach_checker = reach_checker
+        self.peer_attempts = peer_attempts
         self.reject_new_requests = False
 
     async def handle(self, request: IncomingRequest) -> None:
@@ -82,13 +92,13 @@
             code = ResultCode.DRAINING if self.reject_new_requests else ResultCode.NOT_READY
             self.responder.reject(request, metadata, code, retry_after_s=NOT_READY_RETRY_AFTER_S)
             return
-        host_and_path = _host_and_path(request)
-        if host_and_path is None:
+        target = host_and_path(request.head)
+        if target is None:
             self.responder.fail_unrouted(
                 request, metadata, HTTPStatus.BAD_REQUEST, ResultCode.BAD_REQUEST
             )
             return
-        route = config.match(*host_and_path)
+        route = config.match(*target)
         if route is None:
             self.responder.fail_unrouted(
                 request, metadata, HTTPStatus.NOT_FOUND, ResultCode.UNKNOWN_SERVICE
@@ -106,9 +116,10 @@
             tried=[],
         )
         self.attempt_tracker.record_request(context.service, request.arrived_at)
-        await self._run_until_deadline(context)
+        await self.run(context)
 
-    async def _run_until_deadline(self, context: RequestContext) -> None:
+    async def run(self, context: RequestContext) -> None:
+        """Run the attempts of a request until there is a response or its deadline passes."""
         try:
             async with asyncio.timeout_at(context.deadline + RESPONSE_GRACE_S):
                 await self._run_attempts(context)
@@ -158,6 +169,9 @@
     async def _try_servers(self, context: RequestContext, outgoing: OutgoingRequest) -> None:
         """Send the request to one server after the other until there is a response for it."""
         while True:
+            if not self.reach.reaches_servers:
+                await self._respond_out_of_reach(context, outgoing)
+                return
             now = time.monotonic()
             selection_request = SelectionRequest(
                 route=context.route,
@@ -169,7 +183,10 @@
             )
             selection = self.server_selector.select(selection_request, now)
             if isinstance(selection, Rejection):
-                await self._respond_without_server(context, selection)
+                if self.server_selector.is_out_of_reach(selection_request):
+                    await self._respond_out_of_reach(context, outgoing, selection)
+                else:
+                    await self._respond_without_server(context, selection)
                 return
             sent = self.server_selector.record_sent(selection_request, selection, now)
             context.tried.append(selection.server.entry.server)
@@ -180,16 +197,9 @@
             except asyncio.CancelledError:
                 self.attempt_tracker.record_cancellation(selection, started_at=now)
                 raise
-            context.sent_attempts += result.outcome is not AttemptOutcome.UNREACHABLE
-            self.attempt_tracker.record_result(context, selection, result, started_at=now)
-            if result.connection_lost:
-                self.request_guard.record_lost_connection(
-                    outgoing, selection.server, sent_at=sent.sent_at
-                )
-            elif result.outcome is AttemptOutcome.RESPONSE and result.body_complete:
-                self.request_guard.record_response(outgoing, time.monotonic())
-            if result.outcome is AttemptOutcome.UNREACHABLE:
-                self.attempt_runner.pool.close_idle(selection.server.entry.server)
+            await self._learn_from_attempt(
+                context, outgoing, selection, result, sent, started_at=now
+            )
             will_retry = self._should_retry(context, outgoing, result)
             self.decision_log.record_attempt(context, selection, result, will_retry=will_retry)
             if not will_retry:
@@ -198,6 +208,49 @@
                     self._learn_from_stream(outgoing, selection, result, sent_at=sent.sent_at)
                 return
 
+    async def _learn_from_attempt(
+        self,
+        context: RequestContext,
+        outgoing: OutgoingRequest,
+        selection: Selection,
+        result: AttemptResult,
+        sent: SentRequest,
+        *,
+        started_at: float,
+    ) -> None:
+        """Learn from the result of an attempt, and settle whether servers are reached."""
+        server = selection.server.entry.server
+        if result.outcome is not AttemptOutcome.UNREACHABLE:
+            context.sent_attempts += 1
+            context.received_by.append(server)
+        self.attempt_tracker.record_result(context, selection, result, started_at=started_at)
+        if result.connection_lost:
+            self.request_guard.record_lost_connection(
+                outgoing, selection.server, sent_at=sent.sent_at
+            )
+        elif result.outcome is AttemptOutcome.RESPONSE and result.body_complete:
+            self.request_guard.record_response(outgoing, time.monotonic())
+        elif result.outcome is AttemptOutcome.UNREACHABLE:
+            self.attempt_runner.pool.close_idle(server)
+            # If this gateway is cut off, more attempts of its own would fail as well.
+            await self.reach_checker.wait()
+
+    async def _respond_out_of_reach(
+        self,
+        context: RequestContext,
+        outgoing: OutgoingRequest,
+        rejection: Rejection | None = None,
+    ) -> None:
+        """Let a peer serve a request for which this gateway reaches no server, or refuse it.
+
+        A request that a peer has forwarded is not forwarded again.
+        """
+        if context.forwarded is None and await self.peer_attempts.run(context, outgoing):
+            return
+        if rejection is None:
+            rejection = self.server_selector.rejections.reject_unreached()
+        await self._respond_without_server(context, rejection)
+
     def _learn_from_stream(
         self,
         outgoing: OutgoingRequest,
@@ -274,16 +327,3 @@
                 context=context,
                 best=rejection.best,
             )
-
-
-def _host_and_path(request: IncomingRequest) -> tuple[str, str] | None:
-    """Return host and path of a request.
-
-    None if it has neither an absolute target nor exactly one ``Host`` header.
-    """
-    target = request.head.target
-    is_absolute = target.startswith((b"http://", b"https://"))
-    if not is_absolute and sum(name.lower() == b"host" for name, _ in request.head.headers) != 1:
-        return None
-    authority, path = split_target(request.head)
-    return authority.partition(":")[0], path.partition("?")[0]
--- a/knapweeddock/gateway/heartbeats.py
+++ b/knapweeddock/gateway/heartbeats.py
@@ -32,12 +32,14 @@
         incarnation: Identifier of this start of the gateway.
         phase: Whether it accepts new clients.
         region: Its region.
+        reaches_servers: Whether it reaches servers, as far as it knows.
     """
 
     vm: VmId
     incarnation: Incarnation
     phase: GatewayPhase
     region: RegionId
+    reaches_servers: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag="heartbeat"):
--- a/knapweeddock/gateway/lookups.py
+++ b/knapweeddock/gateway/lookups.py
@@ -26,7 +26,8 @@
     gateways of the client's region are candidates, so that the clients of a gateway
     that fails spread over all failure domains; if the region has none, all serving
     gateways are. Of more than ``MAX_GATEWAYS_PER_RESPONSE`` candidates a random sample
-    is named, in which the client's failure domain has no preference.
+    is named, in which the client's failure domain has no preference. Gateways that reach no
+    server are left out while others of the same candidates do: they would forward all requests.
 
     Args:
         region: Region of the client; any when "".
@@ -35,6 +36,7 @@
         members: Gateways that are alive.
         rng: Random source of the sample.
     """
+    members = list(members)
     serving = [
         gateways[member.vm]
         for member in members
@@ -45,6 +47,8 @@
     candidates = [entry for entry in serving if entry.region == region]
     if not candidates:
         candidates = serving
+    reaching = {member.vm for member in members if member.reaches_servers}
+    candidates = [entry for entry in candidates if entry.vm in reaching] or candidates
     if len(candidates) > MAX_GATEWAYS_PER_RESPONSE:
         candidates = rng.sample(candidates, MAX_GATEWAYS_PER_RESPONSE)
     candidates.sort(key=lambda entry: (entry.failure_domain != failure_domain, entry.vm))
--- a/knapweeddock/gateway/metrics.py
+++ b/knapweeddock/gateway/metrics.py
@@ -52,6 +52,7 @@
         suspects: Number of requests under which servers have ended, by how they are treated.
         retries_left: Retries that the retry budget allows now, by service.
         suppressed_lines: Log lines about requests that the rate limit suppressed.
+        reaches_servers: Whether the gateway reaches backend servers.
         stalled_s: Total time in seconds since the start in which the process did
             not run.
     """
@@ -69,6 +70,7 @@
     retries_left: dict[str, int]
     suppressed_lines: int
     stalled_s: float
+    reaches_servers: bool
 
 
 class GatewayMetrics:
@@ -77,6 +79,7 @@
     Attributes:
         request_counts: Requests that ended since the last scrape.
         attempt_counts: Attempts that ended since the last scrape.
+        forwarded_counts: Requests between gateways since the last scrape, by direction and end.
         route_histograms: Histogram of ``request_seconds`` by route.
     """
 
@@ -90,6 +93,12 @@
             "knapweed_request_seconds", "Time from a request's headers to its response."
         )
         self.attempts = process.counter("knapweed_attempts_total", "Attempts by how they ended.")
+        self.forwarded = process.counter(
+            "knapweed_forwarded_requests_total", "Requests between gateways, by how they ended."
+        )
+        self.reaches_servers = process.gauge(
+            "knapweed_reaches_servers", "Whether the gateway reaches backend servers."
+        )
         self.config_version = process.gauge("knapweed_config_version", "Configuration in force.")
         self.store_age = process.gauge(
             "knapweed_store_age_seconds", "Time since the store answered last."
@@ -123,6 +132,7 @@
         )
         self.request_counts: Counter[RequestLabels] = Counter()
         self.attempt_counts: Counter[AttemptOutcome] = Counter()
+        self.forwarded_counts: Counter[tuple[str, str]] = Counter()
         self.route_histograms: dict[RouteId, Histogram] = {}
 
     def record_request(self, labels: RequestLabels, seconds: float) -> None:
@@ -145,6 +155,15 @@
         """Count an attempt by its outcome."""
         self.attempt_counts[outcome] += 1
 
+    def record_forwarded(self, direction: str, outcome: str) -> None:
+        """Count a request between gateways.
+
+        Args:
+            direction: ``sent`` or ``received``.
+            outcome: How it ended, or that it was accepted.
+        """
+        self.forwarded_counts[direction, outcome] += 1
+
     def update(self, values: GaugeValues) -> None:
         """Pass the accumulated counts to the collectors and set the gauges."""
         for labels, count in self.request_counts.items():
@@ -156,6 +175,9 @@
             self.requests.add(label_values, count)
         for outcome, count in self.attempt_counts.items():
             self.attempts.add({"end": outcome.value}, count)
+        for (direction, outcome), count in self.forwarded_counts.items():
+            self.forwarded.add({"direction": direction, "end": outcome}, count)
+        self.forwarded_counts.clear()
         self.request_counts.clear()
         self.attempt_counts.clear()
         self.config_version.set({}, values.config_version)
@@ -172,5 +194,6 @@
             self.suspects.set({"treatment": treatment}, count)
         for service, retries_left in values.retries_left.items():
             self.retries.set({"service": service}, retries_left)
+        self.reaches_servers.set({}, int(values.reaches_servers))
         self.suppressed_lines.set({}, values.suppressed_lines)
         self.stalled_seconds.set({}, round(values.stalled_s, 3))
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -8,8 +8,8 @@
 import structlog
 
 from knapweeddock.errors import PeerUnavailable, ResponseError
-from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.fleet import ServerState
+from knapweeddock.gateway.outages import Outages
 from knapweeddock.gateway.routingstate import RoutingState
 from knapweeddock.gateway.serverconnector import ServerConnector
 from knapweeddock.gateway.wire import ResponseMetadata, WireFormat
@@ -27,7 +27,7 @@
 
     Attributes:
         connector: Opens connections to servers.
-        cold_board: Shares what the probes tell with the other gateways.
+        outages: Learns which servers cannot be reached, and shares what the probes tell.
         probes_sent: Number of probes since the start.
     """
 
@@ -37,12 +37,12 @@
         connector: ServerConnector,
         routing_state: RoutingState,
         wire: WireFormat,
-        cold_board: ColdBoard,
+        outages: Outages,
     ) -> None:
         self.connector = connector
         self.routing_state = routing_state
         self.wire = wire
-        self.cold_board = cold_board
+        self.outages = outages
         self.probes_sent = 0
         self._tasks: dict[ServerId, asyncio.Task[None]] = {}
         self._end_checks: dict[ServerId, asyncio.Task[bool]] = {}
@@ -88,7 +88,7 @@
         try:
             connection = await self.connector.connect(state.entry)
         except PeerUnavailable as error:
-            self._record_unreachable(state)
+            self.outages.record_unreachable(state, time.monotonic())
             log.info("server has ended", server=state.entry.server, reason=str(error))
             return True
         connection.abort()
@@ -120,11 +120,11 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 metadata = await self._check_health(state)
         except (PeerUnavailable, ResponseError, TimeoutError) as error:
-            self._record_unreachable(state)
+            self.outages.record_unreachable(state, time.monotonic())
             log.info("server not back", server=state.entry.server, reason=str(error) or "timeout")
             return
         if metadata is None:
-            self._record_unreachable(state)
+            self._record_unfit(state)
             return
         warmup_left_s = self._warmup_left_s(state, metadata)
         self._record_warmup(state, warmup_left_s)
@@ -135,7 +135,7 @@
         now = time.monotonic()
         if warmup_left_s > 0:
             state.become_cold(now + warmup_left_s, now)
-        self.cold_board.record_warmup(state, warmup_left_s, now)
+        self.outages.cold_board.record_warmup(state, warmup_left_s, now)
 
     def _warmup_left_s(self, state: ServerState, metadata: ResponseMetadata) -> float:
         """Return the time in seconds for which a server that is back stays cold.
@@ -149,10 +149,10 @@
             return self.routing_state.fleet.warmup_s.get(state.entry.service, 0.0)
         return 0.0
 
-    def _record_unreachable(self, state: ServerState) -> None:
+    def _record_unfit(self, state: ServerState) -> None:
         now = time.monotonic()
         state.health.record_unreachable(now)
-        self.cold_board.record_unreachable(state, now)
+        self.outages.cold_board.record_unreachable(state, now)
 
     async def _check_health(self, state: ServerState) -> ResponseMetadata | None:
         """Return the metadata of the server's health response, or None if it is unfit.
--- a/knapweeddock/gateway/records.py
+++ b/knapweeddock/gateway/records.py
@@ -90,6 +90,8 @@
         region: Region of that failure domain.
         front_address: Address for connections of clients.
         peer_address: Address for heartbeats (UDP) and relay subscribers (TCP).
+        forwarding_address: Address for requests that other gateways forward; None if it takes
+            none.
         link_mbps: Bandwidth of its VM's network link in Mbit/s; 0 if it is not known.
         suspects: Requests that all gateways refuse, kept here for those that start later or
             reach the store only.
@@ -101,5 +103,6 @@
     region: RegionId
     front_address: Address
     peer_address: Address
+    forwarding_address: Address | None = None
     link_mbps: float = 0.0
     suspects: tuple[KeptSuspect, ...] = ()
--- a/knapweeddock/gateway/rejections.py
+++ b/knapweeddock/gateway/rejections.py
@@ -87,6 +87,10 @@
             retry_after_s=self._with_jitter(max(MIN_RETRY_AFTER_S, min(pauses_s))),
         )
 
+    def reject_unreached(self) -> Rejection:
+        """Reject a request since this gateway reaches no server, and no peer serves it."""
+        return self._reject(ResultCode.NO_SITE)
+
     def retry_after_s(self, wait_s: float) -> float:
         """Return the Retry-After delay in seconds, with jitter to spread the retries.
 
--- a/knapweeddock/gateway/requestcontext.py
+++ b/knapweeddock/gateway/requestcontext.py
@@ -1,8 +1,9 @@
 """State of a request while the gateway handles it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from knapweeddock.gateway.attempt import AttemptResult
+from knapweeddock.gateway.forwardedmessages import ForwardedRequest
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
@@ -21,6 +22,7 @@
         service: Service that runs the request.
         deadline: Monotonic time at which the request times out.
         tried: Servers selected so far, including unreachable ones.
+        received_by: Servers that the request has reached, whether or not it ran there.
         sent_attempts: Number of attempts that reached a server.
         is_suspect: Whether servers have ended under the same request before, so that it is not
             sent to another one if its server ends.
@@ -28,6 +30,8 @@
             was lost.
         fallback_response: A server's error response after which a retry was allowed.
             It is delivered if no later attempt brings a response.
+        forwarded: What the peer tells that has forwarded the request to this gateway; None for
+            a request of a client.
     """
 
     request: IncomingRequest
@@ -41,3 +45,5 @@
     is_suspect: bool = False
     response_lost: bool = False
     fallback_response: AttemptResult | None = None
+    received_by: list[ServerId] = field(default_factory=list)
+    forwarded: ForwardedRequest | None = None
--- a/knapweeddock/gateway/requestdigest.py
+++ b/knapweeddock/gateway/requestdigest.py
@@ -46,3 +46,15 @@
         authority = hosts[0].decode("latin-1") if hosts else ""
         path = target
     return authority.strip().lower(), path
+
+
+def host_and_path(head: RequestHead) -> tuple[str, str] | None:
+    """Return host and path of a request, by which it is routed.
+
+    None if it has neither an absolute target nor exactly one ``Host`` header.
+    """
+    is_absolute = head.target.startswith((b"http://", b"https://"))
+    if not is_absolute and sum(name.lower() == b"host" for name, _ in head.headers) != 1:
+        return None
+    authority, path = split_target(head)
+    return authority.partition(":")[0], path.partition("?")[0]
--- a/knapweeddock/gateway/serverconnector.py
+++ b/knapweeddock/gateway/serverconnector.py
@@ -1,7 +1,10 @@
 """Opens the connections of this gateway to backend servers."""
 
+import time
 from collections.abc import Awaitable, Callable
 
+from knapweeddock.errors import PeerUnavailable
+from knapweeddock.gateway.reach import Reach
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.http1.client import HttpClientConnection, connect
 
@@ -16,13 +19,32 @@
     """Opens connections to backend servers, for requests and for checks.
 
     Attributes:
+        reach: Learns whether servers are reached.
+        on_failure: Called after a connection has failed.
         open_connection: Opens a connection to an address.
     """
 
-    def __init__(self, *, open_connection: OpenConnection = connect) -> None:
+    def __init__(self, *, reach: Reach, open_connection: OpenConnection = connect) -> None:
+        self.reach = reach
+        self.on_failure: Callable[[], None] = lambda: None
         self.open_connection = open_connection
 
     async def connect(self, entry: ServerEntry) -> HttpClientConnection:
+        """Open a connection to a server, and learn from it.
+
+        Raises:
+            PeerUnavailable: The connection failed or was not established in time.
+        """
+        try:
+            connection = await self.open(entry)
+        except PeerUnavailable:
+            self.reach.record_failed(entry.server, time.monotonic())
+            self.on_failure()
+            raise
+        self.reach.record_connected(time.monotonic())
+        return connection
+
+    async def open(self, entry: ServerEntry) -> HttpClientConnection:
         """Open a connection to a server.
 
         Raises:
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/serverselection.py
@@ -98,6 +98,15 @@
             return self.rejections.reject_without_server(request, regions, now)
         return self.rejections.judge(request, best) or best
 
+    def is_out_of_reach(self, request: SelectionRequest) -> bool:
+        """Whether this gateway reaches none of the servers that may run ``request``."""
+        servers = [
+            server
+            for region in self._allowed_regions(request)
+            for server in self.fleet.group(request.service, region)
+        ]
+        return bool(servers) and not any(server.health.is_usable() for server in servers)
+
     def _best(
         self, request: SelectionRequest, regions: list[RegionId], now: float
     ) -> Selection | None:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -19,13 +19,20 @@
 from knapweeddock.gateway.endpoints import Endpoints
 from knapweeddock.gateway.fleet import Fleet
 from knapweeddock.gateway.forward import Forwarder
+from knapweeddock.gateway.forwardedrequests import ForwardedRequests
 from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
 from knapweeddock.gateway.notices import make_notice_board
+from knapweeddock.gateway.outages import Outages
+from knapweeddock.gateway.peerattempts import PeerAttempts
+from knapweeddock.gateway.peerchoice import PeerChoice, usable_peers
+from knapweeddock.gateway.peerforwarder import PeerForwarder
 from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.quotamembers import QuotaMembers
+from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachcheck import ReachChecker
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.registrations import Registrations
@@ -81,7 +88,11 @@
             fleet=Fleet(), return_hold_s=settings.limits.return_hold_s
         )
         self.processing_times = ProcessingTimes()
-        self.server_connector = ServerConnector()
+        self.reach = Reach(fleet=self.routing_state.fleet, rng=self.rng)
+        self.reach.on_change = self._handle_reach_change
+        self.server_connector = ServerConnector(reach=self.reach)
+        self.reach_checker = ReachChecker(reach=self.reach, connector=self.server_connector)
+        self.server_connector.on_failure = self.reach_checker.start_due_check
         self.connection_pool = ConnectionPool(
             connect=self.server_connector.connect, get_max_idle=self._max_idle_connections
         )
@@ -89,11 +100,12 @@
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
         self.notice_board = make_notice_board(self.routing_state.fleet)
+        self.outages = Outages(reach=self.reach, cold_board=self.notice_board.cold)
         self.prober = Prober(
             connector=self.server_connector,
             routing_state=self.routing_state,
             wire=wire,
-            cold_board=self.notice_board.cold,
+            outages=self.outages,
         )
         self.stall_watch = watch_from_now(MAINTENANCE_INTERVAL_S)
         self._pruned_revision = -1
@@ -185,6 +197,7 @@
             region=settings.region,
             front_address=settings.front,
             peer_address=settings.peer,
+            forwarding_address=settings.forwarding,
             link_mbps=settings.link_mbps,
         )
 
@@ -196,7 +209,7 @@
             spillover_controller=self.spillover_controller,
             fleet=self.routing_state.fleet,
             report_board=self.report_board,
-            cold_board=self.notice_board.cold,
+            outages=self.outages,
             gateway_count=self.quota_members.count,
             now=time.monotonic,
         )
@@ -214,10 +227,23 @@
             shares_by_service=self.spillover_controller.shares_by_service,
             rng=self.rng,
         )
+        attempt_runner = AttemptRunner(wire=self.wire, pool=self.connection_pool)
+        self.peer_forwarder = PeerForwarder(
+            vm=self.settings.vm,
+            wire=self.wire,
+            attempt_runner=attempt_runner,
+            choice=PeerChoice(own=self._registration_entry(), rng=self.rng),
+            candidates=self._usable_peers,
+        )
+        self.responder = Responder(
+            wire=self.wire,
+            decision_log=self.decision_log,
+            active_requests=self._active_requests,
+        )
         self.forwarder = Forwarder(
             routing_state=self.routing_state,
             wire=self.wire,
-            attempt_runner=AttemptRunner(wire=self.wire, pool=self.connection_pool),
+            attempt_runner=attempt_runner,
             server_selector=server_selector,
             attempt_tracker=self.attempt_tracker,
             decision_log=self.decision_log,
@@ -227,17 +253,39 @@
                 fleet=self.routing_state.fleet,
                 prober=self.prober,
                 gateway_vms=self.quota_members.all_vms,
+                reach=self.reach,
                 decision_log=self.decision_log,
             ),
-            responder=Responder(
-                wire=self.wire, pool=self.connection_pool, decision_log=self.decision_log
+            responder=self.responder,
+            reach=self.reach,
+            reach_checker=self.reach_checker,
+            peer_attempts=PeerAttempts(
+                forwarder=self.peer_forwarder,
+                reach=self.reach,
+                attempt_tracker=self.attempt_tracker,
+                responder=self.responder,
+                decision_log=self.decision_log,
             ),
         )
+        self.forwarded_requests = ForwardedRequests(
+            routing_state=self.routing_state,
+            wire=self.wire,
+            reach=self.reach,
+            responder=self.responder,
+            decision_log=self.decision_log,
+            run=self.forwarder.run,
+            is_leaving=lambda: self.phase is not GatewayPhase.SERVING,
+        )
 
     def _build_listeners(self) -> None:
         self.front_listener = HttpListener(
             handler=self.forwarder.handle, get_limits=self.routing_state.client_limits
         )
+        self.forwarding_listener = HttpListener(
+            handler=self.forwarded_requests.handle,
+            get_limits=self.forwarded_requests.limits,
+            accepts=self._is_gateway,
+        )
         endpoints = Endpoints(
             wire=self.wire,
             routing_state=self.routing_state,
@@ -256,6 +304,23 @@
             handler=endpoints.handle_lookup, get_limits=ClientLimits
         )
 
+    def _usable_peers(self) -> list[GatewayEntry]:
+        members = self.feed.live_members(time.monotonic())
+        return usable_peers(self.settings.vm, self.routing_state.gateways, members)
+
+    def _is_gateway(self, host: str) -> bool:
+        """Whether a gateway runs at ``host``, as far as is known."""
+        return any(entry.peer_address[0] == host for entry in self.routing_state.gateways.values())
+
+    def _active_requests(self) -> int:
+        return self.front_listener.active_request_count + self.forwarded_requests.active
+
+    def _handle_reach_change(self) -> None:
+        """Tell the other gateways at once whether this one reaches servers."""
+        if not self.reach.reaches_servers:
+            self.connection_pool.close()
+        self._announce_phase()
+
     def _max_idle_connections(self, entry: ServerEntry) -> int:
         """Return how many idle connections to a server the pool keeps.
 
@@ -319,6 +384,7 @@
                 await stop.wait()
                 await self.drain()
         self.connection_pool.close()
+        self.peer_forwarder.pool.close()
         await self.store_client.close()
         log.info("gateway stopped", requests_unfinished=self.front_listener.active_request_count)
 
@@ -330,6 +396,7 @@
             listening(self.lookup_listener, settings.lookup),
             listening(self.front_listener, settings.front),
             self._serve_metrics(),
+            self._serve_peers(),
             listen_for_heartbeats(self.peers, settings.peer),
             listen_for_subscribers(self.relay, settings.peer),
         ):
@@ -349,6 +416,15 @@
                 log.error("metrics unavailable", reason=str(error))
             yield
 
+    @contextlib.asynccontextmanager
+    async def _serve_peers(self) -> AsyncIterator[None]:
+        """Accept requests that peers forward, if there is a port for them."""
+        async with contextlib.AsyncExitStack() as stack:
+            if self.settings.forwarding is not None:
+                listener = listening(self.forwarding_listener, self.settings.forwarding)
+                await stack.enter_async_context(listener)
+            yield
+
     async def _maintain(self) -> None:
         while True:
             now = time.monotonic()
@@ -363,8 +439,11 @@
             self._update_quota_members(now)
             self.notice_board.update(now)
             self.registrations.update_suspects()
-            self.spillover_controller.update_shares(now)
-            self.prober.start_due_probes(now)
+            self.reach.update(now)
+            self.reach_checker.start_due_check()
+            if self.reach.reaches_servers:
+                self.spillover_controller.update_shares(now)
+                self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
                 self._pruned_revision = fleet.revision
                 self.connection_pool.retain_servers(fleet.servers)
@@ -378,6 +457,7 @@
         """
         self.phase = GatewayPhase.LEAVING
         self.front_listener.draining = True
+        self.forwarding_listener.draining = True
         self.relay.close()
         self._announce_phase()
         log.info(
@@ -389,6 +469,7 @@
             self.front_listener,
             timeout_s=self.settings.limits.shutdown_timeout_s,
             on_stop_accepting=self._reject_new_requests,
+            has_other_work=lambda: self.forwarded_requests.active > 0,
         )
 
     def _reject_new_requests(self) -> None:
@@ -413,6 +494,7 @@
             incarnation=self.incarnation,
             phase=self.phase,
             region=self.settings.region,
+            reaches_servers=self.reach.reaches_servers,
         )
         return Heartbeat(
             member=member,
@@ -440,5 +522,6 @@
                 retries_left=self.attempt_tracker.remaining_retries(),
                 suppressed_lines=self.decision_log.suppressed_lines,
                 stalled_s=self.stall_watch.stalled_s,
+                reaches_servers=self.reach.reaches_servers,
             )
         )
--- a/knapweeddock/gateway/settings.py
+++ b/knapweeddock/gateway/settings.py
@@ -81,6 +81,8 @@
         metrics: Address that listens for scrapes of the metrics.
         peer: Address that listens for other gateways: heartbeats over UDP, and
             subscriptions to the store's changes over TCP.
+        forwarding: Address that listens for requests which other gateways forward; None if
+            there is no port for it.
         store: Settings of the platform's store.
         limits: Limits of the deployment.
         link_mbps: Bandwidth of the VM's network link in Mbit/s; 0 if it is not known.
@@ -96,6 +98,7 @@
     metrics: Address
     peer: Address
     store: StoreSettings
+    forwarding: Address | None = None
     limits: GatewayLimits = field(default_factory=GatewayLimits)
     link_mbps: float = 0.0
     first_start: bool = False
--- a/knapweeddock/gateway/shutdown.py
+++ b/knapweeddock/gateway/shutdown.py
@@ -20,7 +20,11 @@
 
 
 async def close_in_time(
-    listener: HttpListener, *, timeout_s: float, on_stop_accepting: Callable[[], None]
+    listener: HttpListener,
+    *,
+    timeout_s: float,
+    on_stop_accepting: Callable[[], None],
+    has_other_work: Callable[[], bool],
 ) -> None:
     """Stop accepting after some time, and wait until all connections are closed.
 
@@ -30,6 +34,7 @@
         listener: Listener that already closes connections after their last response.
         timeout_s: Time in seconds after which the process is killed.
         on_stop_accepting: Called when new connections and requests are no longer accepted.
+        has_other_work: Returns whether there are requests that the listener does not count.
     """
     started_at = time.monotonic()
     # New clients may connect for as long as they cache older look-up responses.
@@ -37,6 +42,6 @@
     listener.stop_accepting()
     on_stop_accepting()
     while time.monotonic() - started_at < SHUTDOWN_FRACTION * timeout_s:
-        if not listener.close_idle_connections():
+        if not listener.close_idle_connections() and not has_other_work():
             break
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -99,13 +99,14 @@
 
     @abstractmethod
     def forwarded_request_headers(
-        self, head: RequestHead, *, server_id: ServerId, remaining_s: float
+        self, head: RequestHead, *, server_id: ServerId | None, remaining_s: float
     ) -> HeaderList:
         """Return the headers with which a client's request is forwarded.
 
         Args:
             head: Request line and headers from the client.
-            server_id: Identifier of the server that the request is sent to.
+            server_id: Identifier of the server that the request is sent to; None if a peer is
+                to choose one.
             remaining_s: Time in seconds until the request times out.
         """
 
--- a/knapweeddock/http1/server.py
+++ b/knapweeddock/http1/server.py
@@ -107,6 +107,12 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport and start the idle timeout."""
         self.transport = transport
+        host = (transport.get_extra_info("peername") or ("",))[0]
+        if not self.listener.accepts(host):
+            log.warning("connection not accepted", host=host)
+            self.closing = True
+            transport.abort()
+            return
         self.listener.connections.add(self)
         self._start_timer(self.listener.get_limits().idle_timeout_s)
 
@@ -393,13 +399,21 @@
     Attributes:
         handler: Called for each request. It writes the response.
         get_limits: Returns the limits in force.
+        accepts: Returns whether connections from a host are accepted.
         connections: Open connections.
         draining: Whether connections are closed after their last response,
             which tells the client with ``Connection: close``.
     """
 
-    def __init__(self, *, handler: RequestHandler, get_limits: Callable[[], ClientLimits]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        get_limits: Callable[[], ClientLimits],
+        accepts: Callable[[str], bool] = lambda host: True,
+    ) -> None:
         self.handler = handler
+        self.accepts = accepts
         self.get_limits = get_limits
         self.connections: set[HttpServerConnection] = set()
         self.draining = False
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -93,6 +93,8 @@
         "peer": address_text(entry.peer_address),
         "link_mbps": entry.link_mbps,
     }
+    if entry.forwarding_address is not None:
+        content["forwarding"] = address_text(entry.forwarding_address)
     if entry.suspects:
         content["suspects"] = [_encode_suspect(suspect) for suspect in entry.suspects]
     return content
@@ -141,7 +143,8 @@
         region=RegionId(field(spec, "region", str)),
         front_address=address(spec.get("front")),
         peer_address=address(spec.get("peer")),
-        # Gateways of earlier versions do not write it.
+        # Gateways of earlier versions write neither of these.
+        forwarding_address=address(spec["forwarding"]) if "forwarding" in spec else None,
         link_mbps=number(spec, "link_mbps", 0.0),
         suspects=_suspects(name, spec),
     )
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -5,8 +5,11 @@
 from pathlib import Path
 from typing import Any
 
+import structlog
+
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import ConfigError
+from knapweeddock.gateway.records import Address
 from knapweeddock.gateway.settings import GatewayLimits, GatewaySettings, StoreSettings
 from knapweeddock.ids import FailureDomainId, RegionId, VmId
 from knapweeddock.platform.values import (
@@ -18,6 +21,8 @@
     optional,
 )
 
+log = structlog.get_logger(__name__)
+
 SETTINGS_VARIABLE = "KNAPWEEDDOCK_BOOT"
 """Environment variable with the path of the settings file."""
 
@@ -53,9 +58,7 @@
         DocumentError: A field is missing or of another type.
     """
     listen = field(document, "Listen", dict)
-    ports = field(document, "InternalPorts", list)
-    if not ports or not isinstance(ports[0], int):
-        raise DocumentError(f"InternalPorts is {ports!r}")
+    first_port, last_port = _internal_ports(document)
     zones = field(document, "Zones", dict)
     zone = FailureDomainId(field(document, "Zone", str))
     regions = {FailureDomainId(name): RegionId(str(region)) for name, region in zones.items()}
@@ -69,7 +72,8 @@
         ready=address(listen.get("Ready")),
         lookup=address(listen.get("Directory")),
         metrics=(field(document, "Ip", str), METRICS_PORT),
-        peer=(field(document, "Ip", str), ports[0]),
+        peer=(field(document, "Ip", str), first_port),
+        forwarding=_forwarding(field(document, "Ip", str), first_port, last_port),
         store=StoreSettings(
             address=address(platform.get("Address")),
             history_retention_s=duration(platform, "History", 20.0),
@@ -80,6 +84,21 @@
     )
 
 
+def _internal_ports(document: Mapping[str, Any]) -> tuple[int, int]:
+    """Return the first and the last port that is free for traffic between gateways."""
+    ports = field(document, "InternalPorts", list)
+    if not ports or not all(isinstance(port, int) for port in ports):
+        raise DocumentError(f"InternalPorts is {ports!r}")
+    return ports[0], ports[-1]
+
+
+def _forwarding(ip: str, first_port: int, last_port: int) -> Address | None:
+    if first_port == last_port:
+        log.warning("no port for forwarded requests", port=first_port)
+        return None
+    return ip, first_port + 1
+
+
 def _limits(document: Mapping[str, Any]) -> GatewayLimits:
     bounds = optional(document, "Bounds", dict, {})
     default = GatewayLimits()
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -87,12 +87,13 @@
         )
 
     def forwarded_request_headers(
-        self, head: RequestHead, *, server_id: ServerId, remaining_s: float
+        self, head: RequestHead, *, server_id: ServerId | None, remaining_s: float
     ) -> HeaderList:
-        """Return the headers of a client's request that is sent to ``server_id``."""
+        """Return the headers of a client's request that is sent to a server or a peer."""
         headers = end_to_end_headers(head.headers, excluded=SET_ANEW)
         headers.append((b"Deadline-Ms", b"%d" % max(1, int(remaining_s * 1000))))
-        headers.append((b"Expected-Instance", server_id.encode()))
+        if server_id is not None:
+            headers.append((b"Expected-Instance", server_id.encode()))
         return headers
 
     def echoed_header(self, metadata: RequestMetadata) -> tuple[bytes, bytes] | None:
