Decide for each service whether a gateway reaches its servers

A gateway that is cut off from the servers of one service only said of these that they could not be reached, since connections to others worked. The evidence is now weighed service by service, and if one is out of reach, the others are checked at once.

--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/attempttracker.py
@@ -121,7 +121,7 @@
         server = selection.server
         metadata = result.metadata
         server.health.responded_at = now
-        self.outages.reach.record_heard(now)
+        self.outages.reach_board.of(server.entry.service).record_heard(now)
         server.observe_limit(metadata.limit_per_s, now)
         if metadata.load is not None:
             server.load.record_reported_load(
--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/demand.py
@@ -1,7 +1,7 @@
 """Measures the offered load of this gateway's clients and adjusts the region shares to it."""
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 
@@ -114,10 +114,17 @@
             for service, rate in self._rates.items()
         }
 
-    def update_shares(self, now: float) -> None:
-        """Move the shares according to the offered load and the slots of all regions."""
+    def update_shares(self, now: float, *, unreached: Collection[ServiceId] = ()) -> None:
+        """Move the shares according to the offered load and the slots of all regions.
+
+        Args:
+            now: Monotonic time.
+            unreached: Services of which this gateway reaches no server; their shares stay.
+        """
         demands = self.region_demands()
         for service in self.fleet.services():
+            if service in unreached:
+                continue
             rate = self._rates.get(service)
             if rate is None:
                 self._initialize_shares(service)
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -17,7 +17,7 @@
 from knapweeddock.gateway.dividedlimit import SentRequest
 from knapweeddock.gateway.peerattempts import PeerAttempts
 from knapweeddock.gateway.quarantine import Quarantined, Suspected, Unsuspected
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.reachcheck import ReachChecker
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.requestdigest import host_and_path
@@ -67,7 +67,7 @@
         decision_log: DecisionLog,
         request_guard: RequestGuard,
         responder: Responder,
-        reach: Reach,
+        reach_board: ReachBoard,
         reach_checker: ReachChecker,
         peer_attempts: PeerAttempts,
     ) -> None:
@@ -79,7 +79,7 @@
         self.decision_log = decision_log
         self.request_guard = request_guard
         self.responder = responder
-        self.reach = reach
+        self.reach_board = reach_board
         self.reach_checker = reach_checker
         self.peer_attempts = peer_attempts
         self.reject_new_requests = False
@@ -169,7 +169,7 @@
     async def _try_servers(self, context: RequestContext, outgoing: OutgoingRequest) -> None:
         """Send the request to one server after the other until there is a response for it."""
         while True:
-            if not self.reach.reaches_servers:
+            if not self.reach_board.of(context.service).reaches_servers:
                 await self._respond_out_of_reach(context, outgoing)
                 return
             now = time.monotonic()
@@ -233,7 +233,7 @@
         elif result.outcome is AttemptOutcome.UNREACHABLE:
             self.attempt_runner.pool.close_idle(server)
             # If this gateway is cut off, more attempts of its own would fail as well.
-            await self.reach_checker.wait()
+            await self.reach_checker.wait(context.service)
 
     async def _respond_out_of_reach(
         self,
--- a/knapweeddock/gateway/forwardedrequests.py
+++ b/knapweeddock/gateway/forwardedrequests.py
@@ -20,7 +20,7 @@
     ForwardedRequest,
     take_header,
 )
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.rejections import MAX_URGENT_PRIORITY
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.requestdigest import host_and_path
@@ -55,7 +55,7 @@
     Attributes:
         routing_state: Latest known state of the store.
         wire: Format of the requests' headers.
-        reach: Whether this gateway reaches servers.
+        reach_board: Whether this gateway reaches servers.
         responder: Writes responses.
         decision_log: Log of decisions about requests.
         run: Runs the attempts of a request until its deadline.
@@ -68,7 +68,7 @@
         *,
         routing_state: RoutingState,
         wire: WireFormat,
-        reach: Reach,
+        reach_board: ReachBoard,
         responder: Responder,
         decision_log: DecisionLog,
         run: Callable[[RequestContext], Awaitable[None]],
@@ -76,7 +76,7 @@
     ) -> None:
         self.routing_state = routing_state
         self.wire = wire
-        self.reach = reach
+        self.reach_board = reach_board
         self.responder = responder
         self.decision_log = decision_log
         self.run = run
@@ -128,7 +128,7 @@
         if context is None:
             # A later configuration has no such route; the peer will have it in a moment.
             return ResultCode.UNKNOWN_SERVICE
-        if not self.reach.reaches_servers:
+        if not self.reach_board.of(context.service).reaches_servers:
             return ResultCode.NO_SITE
         is_urgent = context.route.priority <= MAX_URGENT_PRIORITY
         limit = MAX_URGENT_FORWARDED_REQUESTS if is_urgent else MAX_FORWARDED_REQUESTS
--- a/knapweeddock/gateway/outages.py
+++ b/knapweeddock/gateway/outages.py
@@ -2,19 +2,19 @@
 
 from knapweeddock.gateway.coldreports import ColdBoard
 from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 
 
 class Outages:
     """Records failures to connect, and shares them once they say something of the server.
 
     Attributes:
-        reach: Whether this gateway reaches servers.
+        reach_board: Whether this gateway reaches servers.
         cold_board: Shares which servers may have started again with the other gateways.
     """
 
-    def __init__(self, *, reach: Reach, cold_board: ColdBoard) -> None:
-        self.reach = reach
+    def __init__(self, *, reach_board: ReachBoard, cold_board: ColdBoard) -> None:
+        self.reach_board = reach_board
         self.cold_board = cold_board
 
     def record_unreachable(self, server: ServerState, now: float) -> None:
@@ -25,4 +25,4 @@
             if server.health.needs_probe:
                 self.cold_board.record_unreachable(server, now)
 
-        self.reach.withhold(share, now)
+        self.reach_board.of(server.entry.service).withhold(share, now)
--- a/knapweeddock/gateway/peerattempts.py
+++ b/knapweeddock/gateway/peerattempts.py
@@ -9,7 +9,7 @@
 from knapweeddock.gateway.decisionlog import DecisionLog
 from knapweeddock.gateway.forwardedmessages import ForwardedResult, Origin
 from knapweeddock.gateway.peerforwarder import PeerForwarder, PeerReply
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.rejections import MIN_RETRY_AFTER_S
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.responder import Responder
@@ -35,7 +35,7 @@
 
     Attributes:
         forwarder: Sends requests to peers.
-        reach: Learns that peers reach servers.
+        reach_board: Learns that peers reach servers.
         attempt_tracker: Allows retries.
         responder: Writes responses.
         decision_log: Log of decisions about requests.
@@ -45,13 +45,13 @@
         self,
         *,
         forwarder: PeerForwarder,
-        reach: Reach,
+        reach_board: ReachBoard,
         attempt_tracker: AttemptTracker,
         responder: Responder,
         decision_log: DecisionLog,
     ) -> None:
         self.forwarder = forwarder
-        self.reach = reach
+        self.reach_board = reach_board
         self.attempt_tracker = attempt_tracker
         self.responder = responder
         self.decision_log = decision_log
@@ -102,7 +102,7 @@
             case Origin.FAILED:
                 return True
             case Origin.SERVER:
-                self.reach.record_served_by_peer(time.monotonic())
+                self.reach_board.of(context.service).record_served_by_peer(time.monotonic())
                 return True
 
     def _may_try_another_peer(
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/probing.py
@@ -56,6 +56,8 @@
         for server_id, state in self.routing_state.fleet.servers.items():
             if server_id in self._tasks or state.pause.is_active(now):
                 continue
+            if not self.outages.reach_board.of(state.entry.service).reaches_servers:
+                continue
             if state.health.is_probe_due(now):
                 self._start(state, self._probe(state))
 
--- a/knapweeddock/gateway/reach.py
+++ b/knapweeddock/gateway/reach.py
@@ -4,11 +4,11 @@
 gateways reach it. Every connection that it opens fails, as if all servers had ended. If it
 said so, the others would take servers for cold that work.
 
-A failure to connect is evidence of the server only if this gateway reaches others. Evidence is
-therefore withheld until a connection made afterwards shows that. If none can be made to some
-servers of different failure domains, the gateway reaches none. A request that a peer got
-served then tells that the fault is its own, and the evidence is dropped; without such a sign
-it counts after ``WITHHELD_S``.
+A failure to connect is evidence of the server only if this gateway reaches others of the same
+service. Evidence is therefore withheld until a connection made afterwards shows that. If none
+can be made to some servers of different failure domains, the gateway reaches none. A request
+that a peer got served then tells that the fault is its own, and the evidence is dropped; without
+such a sign it counts after ``WITHHELD_S``.
 """
 
 import random
@@ -20,7 +20,7 @@
 
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.records import ServerPhase
-from knapweeddock.ids import ServerId
+from knapweeddock.ids import ServerId, ServiceId
 
 log = structlog.get_logger(__name__)
 
@@ -50,7 +50,7 @@
 
 
 class ReachState(Enum):
-    """Whether this gateway reaches servers.
+    """Whether this gateway reaches the servers of a service.
 
     Attributes:
         REACHING: It reaches some, as far as is known.
@@ -70,20 +70,30 @@
 
 
 class Reach:
-    """What this gateway's connections tell about itself and about the servers.
+    """What this gateway's connections tell about itself and about the servers of a service.
 
     Attributes:
+        service: The service.
         fleet: Backend servers.
         state: Whether it reaches servers.
         rng: Source of randomness.
         on_change: Called when the state has changed.
     """
 
-    def __init__(self, *, fleet: Fleet, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        service: ServiceId,
+        fleet: Fleet,
+        rng: random.Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.service = service
         self.fleet = fleet
         self.rng = rng
+        self.on_change = on_change
         self.state = ReachState.REACHING
-        self.on_change: Callable[[], None] = lambda: None
+        self._is_check_requested = False
         self._connected_at = float("-inf")
         self._failed_at = float("-inf")
         self._heard_at = float("-inf")
@@ -143,14 +153,19 @@
         if self.state is not ReachState.REACHING:
             return True
         has_failed = self._failed_at > self._connected_at or bool(self._withheld)
-        return has_failed or self._is_silent(now)
+        return self._is_check_requested or has_failed or self._is_silent(now)
+
+    def request_check(self) -> None:
+        """Make a check due, since another service is out of reach."""
+        self._is_check_requested = True
 
     def choose_servers(self, now: float) -> list[ServerState]:
         """Return the servers to which a check connects, and note that it begins."""
         self._next_check_at = now + CHECK_INTERVAL_S
+        self._is_check_requested = False
         ready = [
             state
-            for state in self.fleet.servers.values()
+            for state in self._servers()
             if state.entry.phase is ServerPhase.READY and not state.is_leaving
         ]
         recent = sorted(ready, key=lambda state: state.health.responded_at)[-RECENT_SERVERS:]
@@ -201,9 +216,14 @@
             return False
         return any(
             state.load.pending and now - state.load.pending[0].sent_at >= SILENCE_S
-            for state in self.fleet.servers.values()
+            for state in self._servers()
         )
 
+    def _servers(self) -> list[ServerState]:
+        return [
+            state for state in self.fleet.servers.values() if state.entry.service == self.service
+        ]
+
     def _become_cut_off(self) -> None:
         self._withheld.clear()
         self._good_checks = 0
@@ -227,6 +247,11 @@
             each.apply()
 
     def _change(self, state: ReachState) -> None:
-        log.warning("reach of servers changed", before=self.state.value, now=state.value)
+        log.warning(
+            "reach of servers changed",
+            service=self.service,
+            before=self.state.value,
+            now=state.value,
+        )
         self.state = state
         self.on_change()
--- a/knapweeddock/gateway/requestguard.py
+++ b/knapweeddock/gateway/requestguard.py
@@ -10,7 +10,7 @@
 from knapweeddock.gateway.fleet import Fleet, ServerState
 from knapweeddock.gateway.probing import Prober
 from knapweeddock.gateway.quarantine import Unsuspected, Verdict, judge
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.records import ServerPhase
 from knapweeddock.gateway.suspect import ServerEnd
 from knapweeddock.gateway.suspectboard import SuspectBoard
@@ -31,7 +31,7 @@
         fleet: Backend servers.
         prober: Finds out whether a server has ended.
         gateway_vms: Returns all gateways, among which trials are shared out.
-        reach: Whether this gateway reaches servers; if it does not, lost connections say
+        reach_board: Whether this gateway reaches servers; if it does not, lost connections say
             nothing of the servers.
         decision_log: Log of decisions about requests.
     """
@@ -44,7 +44,7 @@
         fleet: Fleet,
         prober: Prober,
         gateway_vms: Callable[[], Collection[VmId]],
-        reach: Reach,
+        reach_board: ReachBoard,
         decision_log: DecisionLog,
     ) -> None:
         self.vm = vm
@@ -52,7 +52,7 @@
         self.fleet = fleet
         self.prober = prober
         self.gateway_vms = gateway_vms
-        self.reach = reach
+        self.reach_board = reach_board
         self.decision_log = decision_log
 
     def judge(self, outgoing: OutgoingRequest, now: float) -> Verdict:
@@ -107,7 +107,7 @@
             self.board.record_end(outgoing.digest, end)
             self.decision_log.record_server_end(outgoing, end.server)
 
-        self.reach.withhold(share, time.monotonic())
+        self.reach_board.of(server.entry.service).withhold(share, time.monotonic())
 
     def record_response(self, outgoing: OutgoingRequest, now: float) -> None:
         """Record that a request ran to a response."""
--- a/knapweeddock/gateway/serverconnector.py
+++ b/knapweeddock/gateway/serverconnector.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from knapweeddock.errors import PeerUnavailable
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.http1.client import HttpClientConnection, connect
 
@@ -19,13 +19,15 @@
     """Opens connections to backend servers, for requests and for checks.
 
     Attributes:
-        reach: Learns whether servers are reached.
+        reach_board: Learns whether servers are reached.
         on_failure: Called after a connection has failed.
         open_connection: Opens a connection to an address.
     """
 
-    def __init__(self, *, reach: Reach, open_connection: OpenConnection = connect) -> None:
-        self.reach = reach
+    def __init__(
+        self, *, reach_board: ReachBoard, open_connection: OpenConnection = connect
+    ) -> None:
+        self.reach_board = reach_board
         self.on_failure: Callable[[], None] = lambda: None
         self.open_connection = open_connection
 
@@ -38,10 +40,10 @@
         try:
             connection = await self.open(entry)
         except PeerUnavailable:
-            self.reach.record_failed(entry.server, time.monotonic())
+            self.reach_board.of(entry.service).record_failed(entry.server, time.monotonic())
             self.on_failure()
             raise
-        self.reach.record_connected(time.monotonic())
+        self.reach_board.of(entry.service).record_connected(time.monotonic())
         return connection
 
     async def open(self, entry: ServerEntry) -> HttpClientConnection:
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -32,6 +32,7 @@
 from knapweeddock.gateway.processingtimes import ProcessingTimes
 from knapweeddock.gateway.quotamembers import QuotaMembers
 from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.reachboard import ReachBoard
 from knapweeddock.gateway.reachcheck import ReachChecker
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.regionfeed import RegionFeed
@@ -88,11 +89,11 @@
             fleet=Fleet(), return_hold_s=settings.limits.return_hold_s
         )
         self.processing_times = ProcessingTimes()
-        self.reach = Reach(fleet=self.routing_state.fleet, rng=self.rng)
-        self.reach.on_change = self._handle_reach_change
-        self.server_connector = ServerConnector(reach=self.reach)
-        self.reach_checker = ReachChecker(reach=self.reach, connector=self.server_connector)
-        self.server_connector.on_failure = self.reach_checker.start_due_check
+        self.reach_board = ReachBoard(fleet=self.routing_state.fleet, rng=self.rng)
+        self.reach_board.on_change = self._handle_reach_change
+        self.server_connector = ServerConnector(reach_board=self.reach_board)
+        self.reach_checker = ReachChecker(board=self.reach_board, connector=self.server_connector)
+        self.server_connector.on_failure = self.reach_checker.start_due_checks
         self.connection_pool = ConnectionPool(
             connect=self.server_connector.connect, get_max_idle=self._max_idle_connections
         )
@@ -100,7 +101,7 @@
         self.metrics.process_metrics.before_reading = self._update_metrics
         self.decision_log = DecisionLog(metrics=self.metrics)
         self.notice_board = make_notice_board(self.routing_state.fleet)
-        self.outages = Outages(reach=self.reach, cold_board=self.notice_board.cold)
+        self.outages = Outages(reach_board=self.reach_board, cold_board=self.notice_board.cold)
         self.prober = Prober(
             connector=self.server_connector,
             routing_state=self.routing_state,
@@ -253,15 +254,15 @@
                 fleet=self.routing_state.fleet,
                 prober=self.prober,
                 gateway_vms=self.quota_members.all_vms,
-                reach=self.reach,
+                reach_board=self.reach_board,
                 decision_log=self.decision_log,
             ),
             responder=self.responder,
-            reach=self.reach,
+            reach_board=self.reach_board,
             reach_checker=self.reach_checker,
             peer_attempts=PeerAttempts(
                 forwarder=self.peer_forwarder,
-                reach=self.reach,
+                reach_board=self.reach_board,
                 attempt_tracker=self.attempt_tracker,
                 responder=self.responder,
                 decision_log=self.decision_log,
@@ -270,7 +271,7 @@
         self.forwarded_requests = ForwardedRequests(
             routing_state=self.routing_state,
             wire=self.wire,
-            reach=self.reach,
+            reach_board=self.reach_board,
             responder=self.responder,
             decision_log=self.decision_log,
             run=self.forwarder.run,
@@ -315,10 +316,12 @@
     def _active_requests(self) -> int:
         return self.front_listener.active_request_count + self.forwarded_requests.active
 
-    def _handle_reach_change(self) -> None:
+    def _handle_reach_change(self, reach: Reach) -> None:
         """Tell the other gateways at once whether this one reaches servers."""
-        if not self.reach.reaches_servers:
-            self.connection_pool.close()
+        if not reach.reaches_servers:
+            for server, state in self.routing_state.fleet.servers.items():
+                if state.entry.service == reach.service:
+                    self.connection_pool.close_idle(server)
         self._announce_phase()
 
     def _max_idle_connections(self, entry: ServerEntry) -> int:
@@ -439,11 +442,13 @@
             self._update_quota_members(now)
             self.notice_board.update(now)
             self.registrations.update_suspects()
-            self.reach.update(now)
-            self.reach_checker.start_due_check()
-            if self.reach.reaches_servers:
-                self.spillover_controller.update_shares(now)
-                self.prober.start_due_probes(now)
+            self.reach_board.update(now)
+            self.reach_checker.start_due_checks()
+            unreached = [
+                reach.service for reach in self.reach_board.all() if not reach.reaches_servers
+            ]
+            self.spillover_controller.update_shares(now, unreached=unreached)
+            self.prober.start_due_probes(now)
             if fleet.revision != self._pruned_revision:
                 self._pruned_revision = fleet.revision
                 self.connection_pool.retain_servers(fleet.servers)
@@ -494,7 +499,7 @@
             incarnation=self.incarnation,
             phase=self.phase,
             region=self.settings.region,
-            reaches_servers=self.reach.reaches_servers,
+            reaches_servers=self.reach_board.reaches_servers,
         )
         return Heartbeat(
             member=member,
@@ -522,6 +527,6 @@
                 retries_left=self.attempt_tracker.remaining_retries(),
                 suppressed_lines=self.decision_log.suppressed_lines,
                 stalled_s=self.stall_watch.stalled_s,
-                reaches_servers=self.reach.reaches_servers,
+                reaches_servers=self.reach_board.reaches_servers,
             )
         )
--- a/knapweeddock/requeststory.py
+++ b/knapweeddock/requeststory.py
@@ -29,6 +29,7 @@
     }
 )
 CONFIG_EVENTS = frozenset({"configuration in force"})
+REACH_EVENTS = frozenset({"reach of servers changed"})
 LIFE_EVENTS = frozenset({"gateway started", "serving", "stopping", "settings reloaded"})
 SERVER_EVENTS = frozenset(
     {
@@ -162,13 +163,15 @@
     before = [line for line in ordered if line.vm == vm and line.at <= steps[0].at]
     tried = _servers_of(steps)
     digests = {line.fields["digest"] for line in steps if "digest" in line.fields}
-    around = [line for line in ordered if line.vm == vm and line.event in SERVER_EVENTS]
+    # A peer may have chosen the servers.
+    vms = {line.vm for line in steps}
+    around = [line for line in ordered if line.vm in vms and line.event in SERVER_EVENTS]
     return RequestStory(
         request=request,
         vm=vm,
         beliefs=[
             line
-            for kind in (LIFE_EVENTS, CONFIG_EVENTS, STORE_EVENTS)
+            for kind in (LIFE_EVENTS, CONFIG_EVENTS, STORE_EVENTS, REACH_EVENTS)
             if (line := _latest(before, kind)) is not None
         ],
         servers=[line for line in around if line.fields.get("server") in tried],
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -5,10 +5,6 @@
 
 import io
 
-import pytest
-import structlog
-
-from knapweeddock.logs import configure_logs
 from knapweeddock.requeststory import RequestStory, parse_line, tell
 from standins import documents
 from standins.platformserver import ServerFault
@@ -16,15 +12,6 @@
 from tests.waiting import until
 
 
-@pytest.fixture
-def logs():
-    stream = io.StringIO()
-    configure_logs(stream=stream, vm="front-north-a-1")
-    yield stream
-    structlog.reset_defaults()
-    structlog.contextvars.clear_contextvars()
-
-
 def story_of(request: str, logs: io.StringIO) -> RequestStory:
     return tell(request, [line for line in map(parse_line, logs.getvalue().split("\n")) if line])
 
