Let a response after a report that a server could not be reached end what all presume

A gateway that is cut off from one failure domain or region only reaches other servers of the service, so that its failures count as evidence. Gateways without a response of the last half second took those servers for cold, for as long as its probes failed: in a region of 195 the parts of the limit are then 0 for most. A gateway that gets a response between 0.1 s and 0.5 s after the failure, in which no process starts again, now tells all that the server is warm; the one that could not reach it says nothing more of it for 10 s.

--- a/knapweeddock/gateway/coldreports.py
+++ b/knapweeddock/gateway/coldreports.py
@@ -8,7 +8,7 @@
 back: what they send together stays within the limit of a cold server. The first one that gets
 a health check answered tells how long it stays cold, or that it is warm. The latest word
 counts. A gateway to which the server has just responded does not believe that it has ended:
-the other one may be cut off from it.
+the other one may be cut off from it. If the response came after the report, it says so to all.
 """
 
 from collections.abc import Callable, Iterable
@@ -34,6 +34,13 @@
 """Time in seconds before a report within which a response of the server contradicts it: no
 process starts again as fast as that."""
 
+ON_THE_WAY_S = 0.1
+"""Time in seconds after a report within which a response may have been sent before it."""
+
+DISPUTED_S = 10.0
+"""Time in seconds for which a gateway says nothing of a server that it could not reach while
+another one got a response: its own path to the server may be cut."""
+
 MAX_REPORTS = 40
 """Largest number of reports in one message, so that it fits into a datagram."""
 
@@ -79,10 +86,13 @@
         self.on_end = on_end
         fleet.on_turned_cold = self.record_turned_cold
         self._words: dict[ServerId, _Word] = {}
+        self._disputed_until: dict[ServerId, float] = {}
         self._due: DueKeys[ServerId] = DueKeys()
 
     def record_unreachable(self, state: ServerState, now: float) -> None:
         """Record that this gateway could not reach a server."""
+        if now < self._disputed_until.get(state.entry.server, float("-inf")):
+            return
         until = now + PRESUMED_COLD_S
         known = self._words.get(state.entry.server)
         state.presumed_cold_until = max(state.presumed_cold_until, until)
@@ -127,8 +137,13 @@
                 presumed=report.presumed,
                 said_at=said_at,
             )
+            if word.presumed and _is_contradicted(state, word):
+                self._say(state, _Word(cold_until=now, presumed=False, said_at=now))
+                continue
             if word.presumed:
                 self._note_end(report.server, known, said_at)
+            elif word.cold_until <= said_at and state.health.needs_probe:
+                self._disputed_until[report.server] = now + DISPUTED_S
             self._words[report.server] = word
             self._due.add(report.server, FORWARDED_TO[source])
             _apply(state, word, now)
@@ -170,6 +185,9 @@
         for server, word in list(self._words.items()):
             if server not in self.fleet.servers or now - word.cold_until > MAX_AGE_S:
                 del self._words[server]
+        for server, until in list(self._disputed_until.items()):
+            if until <= now:
+                del self._disputed_until[server]
 
     def _note_end(self, server: ServerId, known: _Word | None, at: float) -> None:
         """Tell the end of a server that was not known to be away."""
@@ -181,6 +199,12 @@
         self._due.add(state.entry.server, FORWARDED_TO[Source.OWN])
 
 
+def _is_contradicted(state: ServerState, word: _Word) -> bool:
+    """Whether the server has responded so soon after a report that it has not restarted."""
+    after_s = state.health.responded_at - word.said_at
+    return ON_THE_WAY_S < after_s <= CONTRADICTION_S
+
+
 def _apply(state: ServerState, word: _Word, now: float) -> None:
     if word.cold_until <= now:
         state.end_presumption(now)
--- a/tests/gateway/test_coldreports.py
+++ b/tests/gateway/test_coldreports.py
@@ -169,3 +169,37 @@
     assert board.take(Direction.TO_RELAY, NOW) == []
     board.fleet.upsert(make_server("a", warmup_left_s=3.0), NOW)
     assert [each.server for each in board.take(Direction.TO_RELAY, NOW)] == ["a"]
+
+
+@pytest.mark.parametrize("exchange", [exchange_by_datagrams, exchange_by_relay])
+@pytest.mark.parametrize("size", [3, 64, 195])
+def test_response_after_the_report_of_another_gateway_ends_what_all_presume(size, exchange):
+    # A gateway that is cut off from one failure domain or region reaches the other servers,
+    # so it takes those for ended. Gateways without a recent response would believe it.
+    gateways = make_region(size, cold_until=0.0)
+    boards = {gateway.vm: ColdBoard(fleet=gateway.state.fleet) for gateway in gateways}
+    cut, user = gateways[-1], gateways[1]
+    server = cut.state.fleet.servers["s"]
+    server.health.record_unreachable(SETTLED_S)
+    boards[cut.vm].record_unreachable(server, SETTLED_S)
+    user.state.fleet.servers["s"].health.responded_at = SETTLED_S + 0.3
+    for step in range(1, 4):
+        for gateway in gateways:
+            gateway.advance(SETTLED_S + 0.3 * step)
+        exchange(gateways, boards)
+    for gateway in gateways:
+        state = gateway.state.fleet.servers["s"]
+        assert gateway is cut or not state.is_cold(gateway.now)
+    server.health.record_unreachable(cut.now)
+    boards[cut.vm].record_unreachable(server, cut.now)
+    assert boards[cut.vm].take(Direction.TO_RELAY, cut.now) == []
+
+
+@pytest.mark.parametrize("responded_after_s", [-0.1, 0.05, 0.9])
+def test_response_that_may_be_of_another_process_contradicts_nothing(responded_after_s):
+    # Before the report it may be from before the end, long after it from after a restart.
+    board = make_board()
+    state = server_state(board.fleet, "a")
+    state.health.responded_at = NOW - 1.0 + responded_after_s
+    board.merge([report("a", 6.0, age_ms=1000)], NOW, Source.SUBSCRIBER)
+    assert [each.presumed for each in board.take(Direction.TO_SUBSCRIBERS, NOW)] == [True]
--- a/tests/platform/test_forwarded_requests.py
+++ b/tests/platform/test_forwarded_requests.py
@@ -12,6 +12,7 @@
     ForwardedRequest,
     encode_header,
 )
+from knapweeddock.gateway.service import Gateway
 from knapweeddock.ids import ServiceId, Version, VmId
 from knapweeddock.requeststory import parse_line, tell
 from standins import documents
@@ -251,6 +252,13 @@
         assert ready.status == 200
 
 
+def has_warm_servers(gateway: Gateway, service: str) -> bool:
+    """Whether a gateway knows servers of a service, and that they are warm."""
+    now = asyncio.get_running_loop().time()
+    states = gateway.routing_state.fleet.group(service, "north")
+    return bool(states) and not any(state.is_cold(now) for state in states)
+
+
 async def test_one_service_is_out_of_reach(settings_path):
     # The gateway reaches servers, but none that may run the request.
     async with running_region(settings_path) as region:
@@ -267,11 +275,8 @@
         config = documents.config("00000009", rows, services=("ledger", "archive"))
         region.world.store.put("config", "main", config)
         await until(lambda: all(each.routing_state.config.version == 9 for each in region.gateways))
-        await until(
-            lambda: all(
-                "archive" in each.routing_state.fleet.services() for each in region.gateways
-            )
-        )
+        # Servers that register anew are cold at first.
+        await until(lambda: all(has_warm_servers(each, "archive") for each in region.gateways))
         region.links[0].begin(
             NewConnections.REFUSED,
             OpenConnections.RESET,
