Spread forwarded requests by how many gateways of a domain are left

A replay of gateways of a domain that are cut off at the peak, each of which knows only what peers tell with their responses, sent 106 of 120 requests at a time to the one that is left of a domain of 22, and 212 in a domain of 64. Gateways of the own domain are now preferred only if at least as many of them reach servers as do not; otherwise those of the region share the requests.

--- a/knapweeddock/gateway/peerchoice.py
+++ b/knapweeddock/gateway/peerchoice.py
@@ -1,10 +1,10 @@
 """Choice of the gateway that serves the clients of one that reaches no server.
 
 Load pattern: most or all gateways of a failure domain are cut off from the servers, at the
-peak. The others of the region carry their requests. A gateway that is cut off does not know
-how many others are; what the peers tell of their load with each response keeps it from sending
-all to the same ones. Gateways of the own failure domain come first, then those of the region,
-then those of other regions; one that has many requests is passed over while there are others.
+peak. The others of the region carry their requests. Gateways of the own failure domain come
+first, if at least as many are left there as are cut off; then those of the region, then those of
+other regions. What the peers tell of their load with each response keeps all from choosing the
+same ones; one that has many requests is passed over while there are others.
 """
 
 import random
@@ -46,6 +46,20 @@
         return max(self.pending, self.told if now - self.told_at < LOAD_MEMORY_S else 0)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerView:
+    """The gateways that matter for a choice.
+
+    Attributes:
+        peers: Gateways that reach servers and accept forwarded requests.
+        cut_off: Number of gateways of the own failure domain that reach no server, this one
+            included.
+    """
+
+    peers: list[GatewayEntry]
+    cut_off: int = 1
+
+
 class PeerChoice:
     """Chooses peers, and learns from what becomes of the requests.
 
@@ -61,7 +75,7 @@
 
     def choose(
         self,
-        candidates: Iterable[GatewayEntry],
+        view: PeerView,
         now: float,
         *,
         regions: Collection[RegionId] = (),
@@ -70,29 +84,39 @@
         """Return the peer to which a request is forwarded, or None if there is none.
 
         Args:
-            candidates: Gateways that reach servers and accept forwarded requests.
+            view: What is known of the other gateways.
             now: Monotonic time in seconds.
             regions: Regions that the request may be sent to; any if empty.
             tried: Peers to which it was forwarded already.
         """
         usable = [
             entry
-            for entry in candidates
+            for entry in view.peers
             if entry.vm not in tried
             and (not regions or entry.region in regions)
             and now - self._load(entry.vm).failed_at >= FAILURE_PAUSE_S
         ]
         best: GatewayEntry | None = None
-        for distance in (0, 1, 2):
-            near = [entry for entry in usable if self._distance(entry) == distance]
+        for group in self._by_distance(usable, view.cut_off):
             # The better of two at random spreads the requests of gateways that know little.
-            for entry in self.rng.sample(near, min(2, len(near))):
+            for entry in self.rng.sample(group, min(2, len(group))):
                 if best is None or self._requests(entry, now) < self._requests(best, now):
                     best = entry
             if best is not None and self._requests(best, now) < NEAR_REQUESTS:
                 break
         return best
 
+    def _by_distance(
+        self, peers: list[GatewayEntry], cut_off: int
+    ) -> tuple[list[GatewayEntry], ...]:
+        """Return groups of peers, the nearest one first."""
+        same_domain = [entry for entry in peers if entry.failure_domain == self.own.failure_domain]
+        same_region = [entry for entry in peers if entry.region == self.own.region]
+        others = [entry for entry in peers if entry.region != self.own.region]
+        if len(same_domain) < cut_off:
+            return same_region, others
+        return same_domain, same_region, others
+
     def record_sent(self, vm: VmId) -> None:
         """Record that a request is forwarded to a peer."""
         self._load(vm).pending += 1
@@ -117,29 +141,34 @@
     def _requests(self, entry: GatewayEntry, now: float) -> int:
         return self._load(entry.vm).requests(now)
 
-    def _distance(self, entry: GatewayEntry) -> int:
-        if entry.failure_domain == self.own.failure_domain:
-            return 0
-        return 1 if entry.region == self.own.region else 2
-
 
-def usable_peers(
-    own: VmId, gateways: Mapping[VmId, GatewayEntry], members: Iterable[Member]
-) -> list[GatewayEntry]:
-    """Return the registered gateways that live, serve and reach servers, without this one.
+def view_peers(
+    own: GatewayEntry, gateways: Mapping[VmId, GatewayEntry], members: Iterable[Member]
+) -> PeerView:
+    """Return which gateways can serve requests for this one.
 
     Args:
-        own: VM of this gateway.
+        own: Registration of this gateway.
         gateways: Registered gateways.
         members: Gateways that are alive.
     """
-    return [
-        entry
+    serving = [
+        (member, entry)
         for member in members
-        if member.vm != own
+        if member.vm != own.vm
         and member.phase is GatewayPhase.SERVING
-        and member.reaches_servers
         and (entry := gateways.get(member.vm)) is not None
         and entry.incarnation == member.incarnation
-        and entry.forwarding_address is not None
     ]
+    cut_off = sum(
+        not member.reaches_servers and entry.failure_domain == own.failure_domain
+        for member, entry in serving
+    )
+    return PeerView(
+        peers=[
+            entry
+            for member, entry in serving
+            if member.reaches_servers and entry.forwarding_address is not None
+        ],
+        cut_off=1 + cut_off,
+    )
--- a/knapweeddock/gateway/peerforwarder.py
+++ b/knapweeddock/gateway/peerforwarder.py
@@ -25,7 +25,7 @@
     encode_header,
     take_header,
 )
-from knapweeddock.gateway.peerchoice import PeerChoice
+from knapweeddock.gateway.peerchoice import PeerChoice, PeerView
 from knapweeddock.gateway.records import Address, GatewayEntry
 from knapweeddock.gateway.requestcontext import RequestContext
 from knapweeddock.gateway.wire import WireFormat
@@ -84,7 +84,7 @@
         wire: Format of the requests' headers.
         attempt_runner: Sends requests and reads responses.
         choice: Chooses the peers.
-        candidates: Returns the gateways to which requests may be forwarded.
+        view: Returns which gateways can serve requests for this one.
         pool: Connections to peers.
     """
 
@@ -95,13 +95,13 @@
         wire: WireFormat,
         attempt_runner: AttemptRunner,
         choice: PeerChoice,
-        candidates: Callable[[], list[GatewayEntry]],
+        view: Callable[[], PeerView],
     ) -> None:
         self.vm = vm
         self.wire = wire
         self.attempt_runner = attempt_runner
         self.choice = choice
-        self.candidates = candidates
+        self.view = view
         self.pool = ConnectionPool(
             connect=connect_to_peer, get_max_idle=lambda _: MAX_IDLE_CONNECTIONS
         )
@@ -110,7 +110,7 @@
         self, tried: list[VmId], regions: frozenset[RegionId] | tuple[RegionId, ...]
     ) -> GatewayEntry | None:
         """Return the peer for a request that was forwarded to ``tried``, None if there is none."""
-        return self.choice.choose(self.candidates(), time.monotonic(), regions=regions, tried=tried)
+        return self.choice.choose(self.view(), time.monotonic(), regions=regions, tried=tried)
 
     async def run(
         self, outgoing: OutgoingRequest, context: RequestContext, peer: GatewayEntry
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -25,7 +25,7 @@
 from knapweeddock.gateway.notices import make_notice_board
 from knapweeddock.gateway.outages import Outages
 from knapweeddock.gateway.peerattempts import PeerAttempts
-from knapweeddock.gateway.peerchoice import PeerChoice, usable_peers
+from knapweeddock.gateway.peerchoice import PeerChoice, PeerView, view_peers
 from knapweeddock.gateway.peerforwarder import PeerForwarder
 from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
 from knapweeddock.gateway.probing import Prober
@@ -234,7 +234,7 @@
             wire=self.wire,
             attempt_runner=attempt_runner,
             choice=PeerChoice(own=self._registration_entry(), rng=self.rng),
-            candidates=self._usable_peers,
+            view=self._view_peers,
         )
         self.responder = Responder(
             wire=self.wire,
@@ -305,9 +305,9 @@
             handler=endpoints.handle_lookup, get_limits=ClientLimits
         )
 
-    def _usable_peers(self) -> list[GatewayEntry]:
+    def _view_peers(self) -> PeerView:
         members = self.feed.live_members(time.monotonic())
-        return usable_peers(self.settings.vm, self.routing_state.gateways, members)
+        return view_peers(self._registration_entry(), self.routing_state.gateways, members)
 
     def _is_gateway(self, host: str) -> bool:
         """Whether a gateway runs at ``host``, as far as is known."""
