Let a gateway that starts beside a silent store take what the others know

Cause: it looked for relays among the registered gateways that live, and reads registrations from the store; in a region of two there is no relay at all. Ruled out: the heartbeats, which arrive within a second, and the relay protocol, by which any gateway with all objects gives them to whoever subscribes.

Change: while the store is away and objects are missing, it subscribes to any gateway that it hears and that serves, those of its region first, and takes the objects as they are.

--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -160,6 +160,7 @@
             relay=self.relay,
             feed=self.feed,
             live_gateways=self._live_gateways,
+            heard_gateways=self._heard_gateways,
             registered_gateways=lambda: self.routing_state.gateways,
             address_of=self.peers.address_of,
             rng=self.rng,
@@ -485,6 +486,15 @@
     def _live_gateways(self) -> list[VmId]:
         return self.feed.live_gateways(time.monotonic())
 
+    def _heard_gateways(self) -> list[VmId]:
+        members = [
+            member
+            for member in self.feed.live_members(time.monotonic())
+            if member.vm != self.settings.vm and member.phase is GatewayPhase.SERVING
+        ]
+        members.sort(key=lambda member: (member.region != self.settings.region, member.vm))
+        return [member.vm for member in members]
+
     def _region_sizes(self) -> Counter[RegionId]:
         return Counter(entry.region for entry in self.routing_state.gateways.values())
 
--- a/knapweeddock/gateway/updatesource.py
+++ b/knapweeddock/gateway/updatesource.py
@@ -53,12 +53,19 @@
 relay again; jitter adds up to 30 %."""
 
 
+COPY_CHECK_INTERVAL_S = 0.5
+"""Shortest time in seconds between two rounds in which a gateway without all objects asks the
+others for them while the store is away; jitter adds up to 30 %."""
+
+
 class UpdateSource:
     """Keeps the store cache up to date from the store or from a relay, and chooses which.
 
     Attributes:
         own_entry: Registration of this gateway.
         live_gateways: Returns the live gateways of the region.
+        heard_gateways: Returns the other gateways of all regions that are heard, whether
+            registered or not, those of this region first.
         registered_gateways: Returns the registered gateways of all regions by VM.
         watches_store: Whether this gateway watches the store itself.
         depth: Number of relays between this gateway and the store.
@@ -76,6 +83,7 @@
         relay: RelayServer,
         feed: RegionFeed,
         live_gateways: Callable[[], Collection[VmId]],
+        heard_gateways: Callable[[], Collection[VmId]],
         registered_gateways: Callable[[], Mapping[VmId, GatewayEntry]],
         address_of: Callable[[VmId], Address | None],
         rng: random.Random,
@@ -88,6 +96,7 @@
         self.relay = relay
         self.feed = feed
         self.live_gateways = live_gateways
+        self.heard_gateways = heard_gateways
         self.registered_gateways = registered_gateways
         self.address_of = address_of
         self.rng = rng
@@ -134,6 +143,8 @@
         """Keep the store cache up to date until cancelled."""
         await self._find_relay()
         while True:
+            if not self.store_cache.is_complete and not self.store_watcher.store_reachable:
+                await self._copy_from_peers()
             if not await self._subscribe_to_best():
                 await self._watch_store()
 
@@ -174,6 +185,17 @@
                     return
             await asyncio.sleep(RELAY_SEARCH_INTERVAL_S * (0.5 + self.rng.random()))
 
+    async def _copy_from_peers(self) -> None:
+        """Take the objects from any gateway that has them, relay or not, as they are.
+
+        A gateway that starts while the store is away knows of the others only whom it hears.
+        """
+        for vm in list(self.heard_gateways())[:MAX_SEARCHED_RELAYS]:
+            await self._subscribe_to(vm)
+            if self.store_cache.is_complete:
+                log.info("took the last known objects from a peer", peer=vm)
+                return
+
     async def _list_gateways(self) -> None:
         listing = asyncio.create_task(self.store_watcher.list_missing_topics([Topic.GATEWAYS]))
         _, unfinished = await asyncio.wait([listing], timeout=STARTUP_LIST_TIMEOUT_S)
@@ -191,16 +213,26 @@
         following = asyncio.create_task(self.store_watcher.run())
         try:
             while True:
-                wait_s = STEP_DOWN_CHECK_INTERVAL_S * (1 + 0.3 * self.rng.random())
-                await asyncio.wait([following], timeout=wait_s)
+                await asyncio.wait([following], timeout=self._check_interval_s())
                 if following.done():
                     following.result()
-                if self._can_step_down():
+                if self._can_step_down() or self._can_copy():
                     return
         finally:
             following.cancel()
             await asyncio.gather(following, return_exceptions=True)
 
+    def _check_interval_s(self) -> float:
+        complete = self.store_cache.is_complete
+        interval_s = STEP_DOWN_CHECK_INTERVAL_S if complete else COPY_CHECK_INTERVAL_S
+        return interval_s * (1 + 0.3 * self.rng.random())
+
+    def _can_copy(self) -> bool:
+        """Whether this gateway lacks objects that the store does not give it, but peers may."""
+        if self.store_cache.is_complete or self.store_watcher.store_reachable:
+            return False
+        return bool(self.heard_gateways())
+
     def _registered_in_region(self) -> list[VmId]:
         registered = self.registered_gateways()
         return [vm for vm, entry in registered.items() if entry.region == self.region]
--- a/tests/gateway/test_updatesource.py
+++ b/tests/gateway/test_updatesource.py
@@ -73,6 +73,7 @@
             store_watcher=self.store_watcher,
             relay=self.relay,
             feed=feed,
+            heard_gateways=lambda: [],
             registered_gateways=lambda: {
                 name: member.entry for name, member in region.members.items()
             },
