Never call a request not run that was forwarded to a peer

At the deadline of a request that runs behind a peer, the gateway that the client is connected to had tried no server itself and refused it as not run (503, deadline_passed), idempotent or not. Peers that may have got it count now: the client gets 504. The two new tests failed before; a third, of a planned stop of a peer under forwarded requests, passes.

--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/forward.py
@@ -136,7 +136,7 @@
             raise
 
     def _respond_timeout(self, context: RequestContext) -> None:
-        if context.tried:
+        if context.tried or context.forwarded_to:
             self.responder.fail(context, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN)
         else:
             self.responder.reject(
--- a/knapweeddock/gateway/peerattempts.py
+++ b/knapweeddock/gateway/peerattempts.py
@@ -62,7 +62,7 @@
         Returns:
             Whether the client has got a response.
         """
-        tried: list[VmId] = []
+        tried = context.forwarded_to
         refused: ForwardedResult | None = None
         while len(tried) < MAX_PEERS:
             peer = self.forwarder.choose(tried, context.route.regions)
--- a/knapweeddock/gateway/requestcontext.py
+++ b/knapweeddock/gateway/requestcontext.py
@@ -7,7 +7,7 @@
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
-from knapweeddock.ids import ServerId, ServiceId, Version
+from knapweeddock.ids import ServerId, ServiceId, Version, VmId
 
 
 @dataclass(kw_only=True, slots=True)
@@ -30,6 +30,7 @@
             was lost.
         fallback_response: A server's error response after which a retry was allowed.
             It is delivered if no later attempt brings a response.
+        forwarded_to: Peers to which the request was forwarded, including unreachable ones.
         forwarded: What the peer tells that has forwarded the request to this gateway; None for
             a request of a client.
     """
@@ -46,4 +47,5 @@
     response_lost: bool = False
     fallback_response: AttemptResult | None = None
     received_by: list[ServerId] = field(default_factory=list)
+    forwarded_to: list[VmId] = field(default_factory=list)
     forwarded: ForwardedRequest | None = None
--- a/tests/platform/test_forwarded_requests.py
+++ b/tests/platform/test_forwarded_requests.py
@@ -353,3 +353,34 @@
     assert "reach of servers changed" in [line.event for line in story.beliefs]
     assert 'knapweed_forwarded_requests_total{direction="sent",end="server"' in reply.body.decode()
     assert "knapweed_reaches_servers" in reply.body.decode()
+
+
+@pytest.mark.parametrize(("path", "method"), [("/read/a", "GET"), ("/book/a", "POST")])
+async def test_request_that_runs_behind_a_peer_at_its_deadline_is_not_called_not_run(
+    settings_path, path, method
+):
+    async with running_region(settings_path) as region:
+        await cut_off(region, 0)
+        for server in region.world.servers.values():
+            server.work_s = 5.0
+        reply = await region.world.ask(
+            path, method=method, gateway=region.gateways[0], budget_ms=600
+        )
+        assert len(region.world.ran()) == 1
+        assert reply.status == 504
+
+
+async def test_planned_stop_of_a_peer_cuts_no_forwarded_request(settings_path):
+    async with running_region(settings_path) as region:
+        await cut_off(region, 1)
+        for server in region.world.servers.values():
+            server.work_s = 0.2
+        sending = asyncio.create_task(
+            region.statuses(region.gateways[1], "stop", 90, path="/book/", method="POST")
+        )
+        await asyncio.sleep(0.5)
+        region.world.stop.set()
+        statuses = await sending
+        # A request that the peer refuses goes to another one.
+        assert statuses == {200: 90}
+        await region.world.running
