Drop limits of servers in reports that cannot be computed with

A report with a limit of infinity or NaN reached the selection, where no quota can be computed from it: each request that considered the server ended with an unexpected error. Limits in responses were checked already, those in reports of other gateways were not. The four new tests failed before.

--- a/knapweeddock/gateway/serverreports.py
+++ b/knapweeddock/gateway/serverreports.py
@@ -12,11 +12,14 @@
 from dataclasses import dataclass
 
 import msgspec
+import structlog
 
 from knapweeddock.gateway.fleet import Fleet, ServerState
-from knapweeddock.gateway.serverlimit import LIMIT_MEMORY_S
+from knapweeddock.gateway.serverlimit import LIMIT_MEMORY_S, MAX_LIMIT_PER_S
 from knapweeddock.ids import ServerId
 
+log = structlog.get_logger(__name__)
+
 BUSY_MEMORY_S = 2.0
 """Time in seconds after the report of a busy server in which it is also reported that the
 server has a free slot again. The end of a limit is reported for as long as it would hold."""
@@ -98,6 +101,10 @@
             observed_at = now - report.age_ms / 1000
             if state is None or not 0 <= report.age_ms <= MAX_AGE_S * 1000:
                 continue
+            limit_per_s = report.limit_per_s
+            if limit_per_s is not None and not 0 <= limit_per_s <= MAX_LIMIT_PER_S:
+                log.warning("limit in a report cannot be used", server=report.server)
+                continue
             known = self._latest.get(report.server)
             if known is not None and known.observed_at >= observed_at:
                 continue
--- a/tests/gateway/test_serverreports.py
+++ b/tests/gateway/test_serverreports.py
@@ -1,3 +1,5 @@
+import pytest
+
 from knapweeddock.gateway.serverreports import MAX_AGE_S, ReportBoard, ServerReport
 from tests.gateway.loadsimulation import LoadSimulation, Workload
 from tests.gateway.support import make_fleet, make_server, server_state
@@ -106,3 +108,13 @@
     board.record(state, 0, NOW + 9.0)
     other.merge(board.take_up(NOW + 9.1), NOW + 9.1, from_relay=True)
     assert server_state(other.fleet, "a").limit.active_per_s(NOW + 9.2) is None
+
+
+@pytest.mark.parametrize("limit_per_s", [float("inf"), float("nan"), -1.0, 1e300])
+def test_absurd_limit_in_a_report_is_dropped(limit_per_s):
+    # No quota can be computed from it: each selection of the server would raise an error.
+    board = make_board()
+    absurd = ServerReport(server="a", requests=1, age_ms=100, limit_per_s=limit_per_s)
+    board.merge([absurd], NOW, from_relay=False)
+    assert server_state(board.fleet, "a").limit.active_per_s(NOW) is None
+    assert board.take_up(NOW) == []
