--- a/knapweeddock/gateway/reach.py
+++ b/knapweeddock/gateway/reach.py
@@ -207,6 +207,8 @@
         if self.state is ReachState.NONE_REACHED and now - self._none_since >= WITHHELD_S:
             self._release(now)
         if self.state is ReachState.REACHING:
+            # Without a ready server there is no check that could give the evidence out.
+            self._release(now - 2 * WITHHELD_S)
             self._failed = {
                 server: at for server, at in self._failed.items() if now - at < WITHHELD_S
             }
