--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from knapweeddock.gateway.decisionlog import MAX_LINES_PER_S
+from knapweeddock.gateway.requests.decisionlog import MAX_LINES_PER_S
 from knapweeddock.logs import configure_logs
 
 LINES = 20_000
--- a/knapweeddock/fleetstatus.py
+++ b/knapweeddock/fleetstatus.py
@@ -13,7 +13,7 @@
 from knapweeddock.errors import PeerUnavailable, StoreError
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.storeclient import StoreClient, StoreObject, Topic
+from knapweeddock.gateway.store.storeclient import StoreClient, StoreObject, Topic
 from knapweeddock.ids import FailureDomainId, ServiceId, Version, VmId
 from knapweeddock.metrics import METRICS_PATH
 
--- a/knapweeddock/gateway/endpoints.py
+++ b/knapweeddock/gateway/endpoints.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from knapweeddock.gateway import lookups
-from knapweeddock.gateway.heartbeats import GatewayPhase
+from knapweeddock.gateway.membership import lookups
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase
+from knapweeddock.gateway.membership.regionfeed import RegionFeed
 from knapweeddock.gateway.metrics import GatewayMetrics
-from knapweeddock.gateway.regionfeed import RegionFeed
-from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.messages import get_header_text
 from knapweeddock.http1.server import IncomingRequest
--- /dev/null
+++ b/knapweeddock/gateway/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways learn of servers and requests from failures, and tell each other."""
--- a/knapweeddock/gateway/coldreports.py
+++ b/knapweeddock/gateway/evidence/coldreports.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from knapweeddock.gateway.duekeys import FORWARDED_TO, Direction, DueKeys, Source
-from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.evidence.duekeys import FORWARDED_TO, Direction, DueKeys, Source
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
 from knapweeddock.ids import ServerId
 
 PRESUMED_COLD_S = 6.0
--- a/knapweeddock/gateway/notices.py
+++ b/knapweeddock/gateway/evidence/notices.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from knapweeddock.gateway.coldreports import ColdBoard, ColdReport
-from knapweeddock.gateway.duekeys import Direction, Source
-from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.evidence.coldreports import ColdBoard, ColdReport
+from knapweeddock.gateway.evidence.duekeys import Direction, Source
+from knapweeddock.gateway.evidence.suspectboard import SuspectBoard, SuspectReport
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.records import GatewayEntry, KeptSuspect
-from knapweeddock.gateway.suspectboard import SuspectBoard, SuspectReport
 from knapweeddock.ids import RegionId, VmId
 
 
--- a/knapweeddock/gateway/outages.py
+++ b/knapweeddock/gateway/evidence/outages.py
@@ -1,8 +1,8 @@
 """Which servers this gateway cannot reach, and what it tells the other gateways of them."""
 
-from knapweeddock.gateway.coldreports import ColdBoard
-from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.gateway.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.coldreports import ColdBoard
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.placement.fleet import ServerState
 
 
 class Outages:
--- a/knapweeddock/gateway/probing.py
+++ b/knapweeddock/gateway/evidence/probing.py
@@ -8,10 +8,10 @@
 import structlog
 
 from knapweeddock.errors import PeerUnavailable, ResponseError
-from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.gateway.outages import Outages
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.serverconnector import ServerConnector
+from knapweeddock.gateway.evidence.outages import Outages
+from knapweeddock.gateway.placement.fleet import ServerState
+from knapweeddock.gateway.requests.serverconnector import ServerConnector
+from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import ResponseMetadata, WireFormat
 from knapweeddock.http1.messages import encode_request_head
 from knapweeddock.ids import ServerId
--- a/knapweeddock/gateway/quarantine.py
+++ b/knapweeddock/gateway/evidence/quarantine.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from knapweeddock.gateway.suspect import QUARANTINE_ENDS, Suspect
+from knapweeddock.gateway.evidence.suspect import QUARANTINE_ENDS, Suspect
 from knapweeddock.ids import RequestDigest, VmId
 from knapweeddock.rendezvous import hash_parts
 
--- a/knapweeddock/gateway/reach.py
+++ b/knapweeddock/gateway/evidence/reach.py
@@ -18,7 +18,7 @@
 
 import structlog
 
-from knapweeddock.gateway.fleet import Fleet, ServerState
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
 from knapweeddock.gateway.records import ServerPhase
 from knapweeddock.ids import ServerId, ServiceId
 
--- a/knapweeddock/gateway/reachboard.py
+++ b/knapweeddock/gateway/evidence/reachboard.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Callable
 
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.reach import Reach
+from knapweeddock.gateway.evidence.reach import Reach
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.ids import ServiceId
 
 
--- a/knapweeddock/gateway/reachcheck.py
+++ b/knapweeddock/gateway/evidence/reachcheck.py
@@ -4,10 +4,10 @@
 import time
 
 from knapweeddock.errors import PeerUnavailable
-from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.gateway.reach import Reach
-from knapweeddock.gateway.reachboard import ReachBoard
-from knapweeddock.gateway.serverconnector import ServerConnector
+from knapweeddock.gateway.evidence.reach import Reach
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.placement.fleet import ServerState
+from knapweeddock.gateway.requests.serverconnector import ServerConnector
 from knapweeddock.ids import ServiceId
 
 
--- a/knapweeddock/gateway/serverreports.py
+++ b/knapweeddock/gateway/evidence/serverreports.py
@@ -14,8 +14,8 @@
 import msgspec
 import structlog
 
-from knapweeddock.gateway.fleet import Fleet, ServerState
-from knapweeddock.gateway.serverlimit import LIMIT_MEMORY_S, MAX_LIMIT_PER_S
+from knapweeddock.gateway.limits.serverlimit import LIMIT_MEMORY_S, MAX_LIMIT_PER_S
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
 from knapweeddock.ids import ServerId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/suspectboard.py
+++ b/knapweeddock/gateway/evidence/suspectboard.py
@@ -18,15 +18,15 @@
 import msgspec
 import structlog
 
-from knapweeddock.gateway.duekeys import FORWARDED_TO, Direction, DueKeys, Source
-from knapweeddock.gateway.records import KeptEnd, KeptSuspect
-from knapweeddock.gateway.suspect import (
+from knapweeddock.gateway.evidence.duekeys import FORWARDED_TO, Direction, DueKeys, Source
+from knapweeddock.gateway.evidence.suspect import (
     MAX_ENDS,
     QUARANTINE_ENDS,
     ServerEnd,
     Suspect,
     explains_its_ends,
 )
+from knapweeddock.gateway.records import KeptEnd, KeptSuspect
 from knapweeddock.ids import RequestDigest, ServerId
 
 log = structlog.get_logger(__name__)
--- /dev/null
+++ b/knapweeddock/gateway/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that all gateways keep together, each with its part."""
--- a/knapweeddock/gateway/quotamembers.py
+++ b/knapweeddock/gateway/limits/quotamembers.py
@@ -16,7 +16,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from knapweeddock.gateway.heartbeats import Member
+from knapweeddock.gateway.membership.heartbeats import Member
 from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.ids import RegionId, VmId
 
--- a/knapweeddock/gateway/serverquotas.py
+++ b/knapweeddock/gateway/limits/serverquotas.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from knapweeddock.gateway.dividedlimit import (
+from knapweeddock.gateway.limits.dividedlimit import (
     ARRIVAL_RESERVE,
     COLD_WINDOW_S,
     DividedLimit,
@@ -18,8 +18,8 @@
     gateway_quota,
     named_limit,
 )
-from knapweeddock.gateway.fleet import ServerState
-from knapweeddock.gateway.quotamembers import QuotaMembers
+from knapweeddock.gateway.limits.quotamembers import QuotaMembers
+from knapweeddock.gateway.placement.fleet import ServerState
 from knapweeddock.ids import ServerId, ServiceId, VmId
 
 MEMORY_S = 60.0
--- /dev/null
+++ b/knapweeddock/gateway/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which gateways live, and how changes and reports travel between them."""
--- a/knapweeddock/gateway/heartbeats.py
+++ b/knapweeddock/gateway/membership/heartbeats.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from knapweeddock.gateway.spillover import RegionShares
+from knapweeddock.gateway.placement.spillover import RegionShares
 from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId
 
 HEARTBEAT_INTERVAL_S = 0.7
--- a/knapweeddock/gateway/liveness.py
+++ b/knapweeddock/gateway/membership/liveness.py
@@ -11,7 +11,12 @@
 
 import structlog
 
-from knapweeddock.gateway.heartbeats import HEARTBEAT_TIMEOUT_S, GatewayPhase, Heartbeat, Member
+from knapweeddock.gateway.membership.heartbeats import (
+    HEARTBEAT_TIMEOUT_S,
+    GatewayPhase,
+    Heartbeat,
+    Member,
+)
 from knapweeddock.ids import RegionId, VmId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/lookups.py
+++ b/knapweeddock/gateway/membership/lookups.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
-from knapweeddock.gateway.heartbeats import GatewayPhase, Member
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase, Member
 from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.ids import FailureDomainId, RegionId, VmId
 
--- a/knapweeddock/gateway/peers.py
+++ b/knapweeddock/gateway/membership/peers.py
@@ -11,12 +11,16 @@
 import msgspec
 import structlog
 
-from knapweeddock.gateway.duekeys import Direction, Source
-from knapweeddock.gateway.heartbeats import HEARTBEAT_INTERVAL_S, Heartbeat, RegionSummary
-from knapweeddock.gateway.notices import NoticeDatagram, Notices
+from knapweeddock.gateway.evidence.duekeys import Direction, Source
+from knapweeddock.gateway.evidence.notices import NoticeDatagram, Notices
+from knapweeddock.gateway.membership.heartbeats import (
+    HEARTBEAT_INTERVAL_S,
+    Heartbeat,
+    RegionSummary,
+)
+from knapweeddock.gateway.membership.regionfeed import RegionFeed
+from knapweeddock.gateway.membership.relaytree import relay_order
 from knapweeddock.gateway.records import Address, GatewayEntry
-from knapweeddock.gateway.regionfeed import RegionFeed
-from knapweeddock.gateway.relaytree import relay_order
 from knapweeddock.ids import RegionId, VmId
 from knapweeddock.rendezvous import weighted_order
 
--- a/knapweeddock/gateway/regionfeed.py
+++ b/knapweeddock/gateway/membership/regionfeed.py
@@ -12,8 +12,10 @@
 
 import msgspec
 
-from knapweeddock.gateway.duekeys import Direction, Source
-from knapweeddock.gateway.heartbeats import (
+from knapweeddock.gateway.evidence.duekeys import Direction, Source
+from knapweeddock.gateway.evidence.notices import NoticeBoard, Notices
+from knapweeddock.gateway.evidence.serverreports import ReportBoard, ServerReport
+from knapweeddock.gateway.membership.heartbeats import (
     HEARTBEAT_INTERVAL_S,
     GatewayPhase,
     Heartbeat,
@@ -22,11 +24,9 @@
     RegionSummary,
     summarize,
 )
-from knapweeddock.gateway.liveness import Liveness
-from knapweeddock.gateway.notices import NoticeBoard, Notices
-from knapweeddock.gateway.serverreports import ReportBoard, ServerReport
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.membership.liveness import Liveness
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.ids import RegionId, VmId
 from knapweeddock.rendezvous import weighted_order
 
--- a/knapweeddock/gateway/relay.py
+++ b/knapweeddock/gateway/membership/relay.py
@@ -18,10 +18,8 @@
 import structlog
 
 from knapweeddock.errors import MessageError, PeerUnavailable
-from knapweeddock.gateway.configpatch import make_patch
-from knapweeddock.gateway.records import Address
-from knapweeddock.gateway.regionfeed import Pulse, RegionFeed, SubscriberReport
-from knapweeddock.gateway.relaymessages import (
+from knapweeddock.gateway.membership.regionfeed import Pulse, RegionFeed, SubscriberReport
+from knapweeddock.gateway.membership.relaymessages import (
     ConfigUpdate,
     RelayMessage,
     decode,
@@ -31,10 +29,12 @@
     read_frame,
     to_update,
 )
-from knapweeddock.gateway.relaytree import MAX_RELAY_DEPTH
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import StoreObject, Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.membership.relaytree import MAX_RELAY_DEPTH
+from knapweeddock.gateway.records import Address
+from knapweeddock.gateway.store.configpatch import make_patch
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import StoreObject, Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.ids import Era
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/relaymessages.py
+++ b/knapweeddock/gateway/membership/relaymessages.py
@@ -12,13 +12,13 @@
 import msgspec
 
 from knapweeddock.errors import MessageError, PatchMismatch
-from knapweeddock.gateway.configpatch import ConfigPatch, apply_patch
+from knapweeddock.gateway.membership.regionfeed import Pulse, SubscriberReport
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
-from knapweeddock.gateway.regionfeed import Pulse, SubscriberReport
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import StoreObject, Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.store.configpatch import ConfigPatch, apply_patch
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import StoreObject, Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.ids import FailureDomainId
 
 READ_BYTES = 64 * 1024
--- a/knapweeddock/gateway/updatesource.py
+++ b/knapweeddock/gateway/membership/updatesource.py
@@ -8,18 +8,18 @@
 import structlog
 
 from knapweeddock.errors import MessageError, PeerUnavailable
-from knapweeddock.gateway.records import Address, GatewayEntry
-from knapweeddock.gateway.regionfeed import Pulse, RegionFeed
-from knapweeddock.gateway.relay import RELAY_TIMEOUT_S, RelayServer, subscribe
-from knapweeddock.gateway.relaytree import (
+from knapweeddock.gateway.membership.regionfeed import Pulse, RegionFeed
+from knapweeddock.gateway.membership.relay import RELAY_TIMEOUT_S, RelayServer, subscribe
+from knapweeddock.gateway.membership.relaytree import (
     MAX_RELAY_DEPTH,
     MIN_GATEWAYS_FOR_RELAYS,
     RelayTree,
     relay_order,
 )
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storewatcher import StoreWatcher
+from knapweeddock.gateway.records import Address, GatewayEntry
+from knapweeddock.gateway.store.storecache import StoreCache
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from knapweeddock.ids import VmId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/metrics.py
+++ b/knapweeddock/gateway/metrics.py
@@ -10,7 +10,7 @@
 
 from aioprometheus.histogram import Histogram
 
-from knapweeddock.gateway.attempt import AttemptOutcome
+from knapweeddock.gateway.requests.attempt import AttemptOutcome
 from knapweeddock.ids import RouteId, VmId
 from knapweeddock.metrics import ProcessMetrics
 
--- /dev/null
+++ b/knapweeddock/gateway/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that a gateway without servers lets a peer serve."""
--- a/knapweeddock/gateway/forwardedrequests.py
+++ b/knapweeddock/gateway/peering/forwardedrequests.py
@@ -13,20 +13,20 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import MessageError
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.forwardedmessages import (
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.peering.forwardedmessages import (
     MAX_HEADER_BYTES,
     REQUEST_HEADER,
     ForwardedRequest,
     take_header,
 )
-from knapweeddock.gateway.reachboard import ReachBoard
-from knapweeddock.gateway.rejections import MAX_URGENT_PRIORITY
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.requestdigest import host_and_path
-from knapweeddock.gateway.responder import Responder
+from knapweeddock.gateway.placement.rejections import MAX_URGENT_PRIORITY
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
+from knapweeddock.gateway.requests.requestcontext import RequestContext
+from knapweeddock.gateway.requests.requestdigest import host_and_path
+from knapweeddock.gateway.requests.responder import Responder
 from knapweeddock.gateway.routes import Route
-from knapweeddock.gateway.routingstate import RoutingState
+from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.server import ClientLimits, IncomingRequest
 from knapweeddock.ids import ServiceId, Version
--- a/knapweeddock/gateway/peerattempts.py
+++ b/knapweeddock/gateway/peering/peerattempts.py
@@ -4,15 +4,15 @@
 from http import HTTPStatus
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.attempt import AttemptOutcome, OutgoingRequest
-from knapweeddock.gateway.attempttracker import AttemptTracker
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.forwardedmessages import ForwardedResult, Origin
-from knapweeddock.gateway.peerforwarder import PeerForwarder, PeerReply
-from knapweeddock.gateway.reachboard import ReachBoard
-from knapweeddock.gateway.rejections import MIN_RETRY_AFTER_S
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.responder import Responder
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.peering.forwardedmessages import ForwardedResult, Origin
+from knapweeddock.gateway.peering.peerforwarder import PeerForwarder, PeerReply
+from knapweeddock.gateway.placement.rejections import MIN_RETRY_AFTER_S
+from knapweeddock.gateway.requests.attempt import AttemptOutcome, OutgoingRequest
+from knapweeddock.gateway.requests.attempttracker import AttemptTracker
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
+from knapweeddock.gateway.requests.requestcontext import RequestContext
+from knapweeddock.gateway.requests.responder import Responder
 from knapweeddock.ids import VmId
 
 MAX_PEERS = 2
--- a/knapweeddock/gateway/peerchoice.py
+++ b/knapweeddock/gateway/peering/peerchoice.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-from knapweeddock.gateway.heartbeats import GatewayPhase, Member
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase, Member
 from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.ids import RegionId, VmId
 
--- a/knapweeddock/gateway/peerforwarder.py
+++ b/knapweeddock/gateway/peering/peerforwarder.py
@@ -8,15 +8,7 @@
 import structlog
 
 from knapweeddock.errors import MessageError, PeerUnavailable, ResponseError
-from knapweeddock.gateway.attempt import (
-    AttemptOutcome,
-    AttemptResult,
-    AttemptRunner,
-    OutgoingRequest,
-    lost_result,
-)
-from knapweeddock.gateway.connectionpool import ConnectionPool
-from knapweeddock.gateway.forwardedmessages import (
+from knapweeddock.gateway.peering.forwardedmessages import (
     REQUEST_HEADER,
     RESULT_HEADER,
     ForwardedRequest,
@@ -25,9 +17,17 @@
     encode_header,
     take_header,
 )
-from knapweeddock.gateway.peerchoice import PeerChoice, PeerView
+from knapweeddock.gateway.peering.peerchoice import PeerChoice, PeerView
 from knapweeddock.gateway.records import Address, GatewayEntry
-from knapweeddock.gateway.requestcontext import RequestContext
+from knapweeddock.gateway.requests.attempt import (
+    AttemptOutcome,
+    AttemptResult,
+    AttemptRunner,
+    OutgoingRequest,
+    lost_result,
+)
+from knapweeddock.gateway.requests.connectionpool import ConnectionPool
+from knapweeddock.gateway.requests.requestcontext import RequestContext
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.client import HttpClientConnection, connect
 from knapweeddock.ids import RegionId, VmId
--- /dev/null
+++ b/knapweeddock/gateway/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server runs a request, and which requests are rejected."""
--- a/knapweeddock/gateway/demand.py
+++ b/knapweeddock/gateway/placement/demand.py
@@ -5,10 +5,10 @@
 
 import structlog
 
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.heartbeats import RegionDemand
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.spillover import (
+from knapweeddock.gateway.membership.heartbeats import RegionDemand
+from knapweeddock.gateway.placement.fleet import Fleet
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.spillover import (
     RegionLoad,
     RegionShares,
     SpilloverShares,
--- a/knapweeddock/gateway/fleet.py
+++ b/knapweeddock/gateway/placement/fleet.py
@@ -4,13 +4,13 @@
 
 import structlog
 
-from knapweeddock.gateway.dividedlimit import ARRIVAL_RESERVE, COLD_WINDOW_S
-from knapweeddock.gateway.passivehealth import PassiveHealth
+from knapweeddock.gateway.evidence.passivehealth import PassiveHealth
+from knapweeddock.gateway.limits.dividedlimit import ARRIVAL_RESERVE, COLD_WINDOW_S
+from knapweeddock.gateway.limits.serverlimit import ServerLimit
+from knapweeddock.gateway.limits.serverpause import RESUME_S, ServerPause
+from knapweeddock.gateway.placement.serverload import ServerLoad
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
-from knapweeddock.gateway.serverlimit import ServerLimit
-from knapweeddock.gateway.serverload import ServerLoad
-from knapweeddock.gateway.serverpause import RESUME_S, ServerPause
-from knapweeddock.gateway.storereturn import DepartedServers
+from knapweeddock.gateway.store.storereturn import DepartedServers
 from knapweeddock.ids import FailureDomainId, RegionId, ServerId, ServiceId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/rejections.py
+++ b/knapweeddock/gateway/placement/rejections.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterable
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.fleet import Fleet
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.selection import Rejection, Selection, SelectionRequest
 from knapweeddock.gateway.routes import Route
-from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
 from knapweeddock.ids import RegionId
 
 MAX_LATENCY_FACTOR = 1.0
--- a/knapweeddock/gateway/selection.py
+++ b/knapweeddock/gateway/placement/selection.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.fleet import ServerState
+from knapweeddock.gateway.placement.fleet import ServerState
 from knapweeddock.gateway.routes import Route
 from knapweeddock.ids import ServerId, ServiceId
 
--- a/knapweeddock/gateway/serverselection.py
+++ b/knapweeddock/gateway/placement/serverselection.py
@@ -14,14 +14,14 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from knapweeddock.gateway.dividedlimit import SentRequest
-from knapweeddock.gateway.fleet import Fleet, ServerState
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.rejections import RejectionPolicy
-from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
-from knapweeddock.gateway.serverquotas import ServerQuotas
-from knapweeddock.gateway.shiftlimit import ShiftLimit
-from knapweeddock.gateway.spillover import CACHED_OBJECTS_PER_SERVER, SpilloverShares
+from knapweeddock.gateway.limits.dividedlimit import SentRequest
+from knapweeddock.gateway.limits.serverquotas import ServerQuotas
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.rejections import RejectionPolicy
+from knapweeddock.gateway.placement.selection import Rejection, Selection, SelectionRequest
+from knapweeddock.gateway.placement.shiftlimit import ShiftLimit
+from knapweeddock.gateway.placement.spillover import CACHED_OBJECTS_PER_SERVER, SpilloverShares
 from knapweeddock.ids import FailureDomainId, RegionId, ServiceId
 from knapweeddock.rendezvous import HASH_RANGE, hash_parts
 
--- /dev/null
+++ b/knapweeddock/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: routing, attempts, retries and the response."""
--- a/knapweeddock/gateway/attempt.py
+++ b/knapweeddock/gateway/requests/attempt.py
@@ -13,10 +13,10 @@
     PeerUnavailable,
     ResponseError,
 )
-from knapweeddock.gateway.connectionpool import ConnectionPool, Destination
-from knapweeddock.gateway.dividedlimit import SentRequest
-from knapweeddock.gateway.requestdigest import request_digest
-from knapweeddock.gateway.selection import Selection
+from knapweeddock.gateway.limits.dividedlimit import SentRequest
+from knapweeddock.gateway.placement.selection import Selection
+from knapweeddock.gateway.requests.connectionpool import ConnectionPool, Destination
+from knapweeddock.gateway.requests.requestdigest import request_digest
 from knapweeddock.gateway.wire import (
     HeaderList,
     RequestMetadata,
--- a/knapweeddock/gateway/attempttracker.py
+++ b/knapweeddock/gateway/requests/attempttracker.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult
-from knapweeddock.gateway.demand import SpilloverController
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.outages import Outages
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
-from knapweeddock.gateway.selection import INTER_REGION_RTT_S, Selection
-from knapweeddock.gateway.serverreports import ReportBoard
+from knapweeddock.gateway.evidence.outages import Outages
+from knapweeddock.gateway.evidence.serverreports import ReportBoard
+from knapweeddock.gateway.limits.retrybudget import RetryBudgetLimits, RetryBudgetShare
+from knapweeddock.gateway.placement.demand import SpilloverController
+from knapweeddock.gateway.placement.fleet import Fleet
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.selection import INTER_REGION_RTT_S, Selection
+from knapweeddock.gateway.requests.attempt import AttemptOutcome, AttemptResult
+from knapweeddock.gateway.requests.requestcontext import RequestContext
 from knapweeddock.gateway.settings import GatewayLimits
 from knapweeddock.ids import ServiceId
 
--- a/knapweeddock/gateway/decisionlog.py
+++ b/knapweeddock/gateway/requests/decisionlog.py
@@ -9,13 +9,13 @@
 import structlog
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
-from knapweeddock.gateway.forwardedmessages import ForwardedRequest
+from knapweeddock.gateway.evidence.quarantine import Quarantined, Suspected
 from knapweeddock.gateway.metrics import NO_ROUTE, GatewayMetrics, RequestLabels
-from knapweeddock.gateway.peerforwarder import PeerReply
-from knapweeddock.gateway.quarantine import Quarantined, Suspected
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.selection import Selection
+from knapweeddock.gateway.peering.forwardedmessages import ForwardedRequest
+from knapweeddock.gateway.peering.peerforwarder import PeerReply
+from knapweeddock.gateway.placement.selection import Selection
+from knapweeddock.gateway.requests.attempt import AttemptOutcome, AttemptResult, OutgoingRequest
+from knapweeddock.gateway.requests.requestcontext import RequestContext
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
 from knapweeddock.ids import ServerId, VmId
--- a/knapweeddock/gateway/forward.py
+++ b/knapweeddock/gateway/requests/forward.py
@@ -6,26 +6,26 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import IncompleteRequest
-from knapweeddock.gateway.attempt import (
+from knapweeddock.gateway.evidence.quarantine import Quarantined, Suspected, Unsuspected
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.reachcheck import ReachChecker
+from knapweeddock.gateway.limits.dividedlimit import SentRequest
+from knapweeddock.gateway.peering.peerattempts import PeerAttempts
+from knapweeddock.gateway.placement.selection import Rejection, Selection, SelectionRequest
+from knapweeddock.gateway.placement.serverselection import ServerSelector
+from knapweeddock.gateway.requests.attempt import (
     AttemptOutcome,
     AttemptResult,
     AttemptRunner,
     OutgoingRequest,
 )
-from knapweeddock.gateway.attempttracker import AttemptTracker
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.dividedlimit import SentRequest
-from knapweeddock.gateway.peerattempts import PeerAttempts
-from knapweeddock.gateway.quarantine import Quarantined, Suspected, Unsuspected
-from knapweeddock.gateway.reachboard import ReachBoard
-from knapweeddock.gateway.reachcheck import ReachChecker
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.requestdigest import host_and_path
-from knapweeddock.gateway.requestguard import RequestGuard
-from knapweeddock.gateway.responder import Responder
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.selection import Rejection, Selection, SelectionRequest
-from knapweeddock.gateway.serverselection import ServerSelector
+from knapweeddock.gateway.requests.attempttracker import AttemptTracker
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
+from knapweeddock.gateway.requests.requestcontext import RequestContext
+from knapweeddock.gateway.requests.requestdigest import host_and_path
+from knapweeddock.gateway.requests.requestguard import RequestGuard
+from knapweeddock.gateway.requests.responder import Responder
+from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.responsewriter import ResponseState
 from knapweeddock.http1.server import IncomingRequest
--- a/knapweeddock/gateway/requestcontext.py
+++ b/knapweeddock/gateway/requests/requestcontext.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from knapweeddock.gateway.attempt import AttemptResult
-from knapweeddock.gateway.forwardedmessages import ForwardedRequest
+from knapweeddock.gateway.peering.forwardedmessages import ForwardedRequest
+from knapweeddock.gateway.requests.attempt import AttemptResult
 from knapweeddock.gateway.routes import Route
 from knapweeddock.gateway.wire import RequestMetadata
 from knapweeddock.http1.server import IncomingRequest
--- a/knapweeddock/gateway/requestguard.py
+++ b/knapweeddock/gateway/requests/requestguard.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable, Collection
 from contextlib import AbstractContextManager
 
-from knapweeddock.gateway.attempt import OutgoingRequest
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.fleet import Fleet, ServerState
-from knapweeddock.gateway.probing import Prober
-from knapweeddock.gateway.quarantine import Unsuspected, Verdict, judge
-from knapweeddock.gateway.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.probing import Prober
+from knapweeddock.gateway.evidence.quarantine import Unsuspected, Verdict, judge
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.suspect import ServerEnd
+from knapweeddock.gateway.evidence.suspectboard import SuspectBoard
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
 from knapweeddock.gateway.records import ServerPhase
-from knapweeddock.gateway.suspect import ServerEnd
-from knapweeddock.gateway.suspectboard import SuspectBoard
+from knapweeddock.gateway.requests.attempt import OutgoingRequest
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
 from knapweeddock.ids import VmId
 from knapweeddock.rendezvous import hash_parts
 
--- a/knapweeddock/gateway/responder.py
+++ b/knapweeddock/gateway/requests/responder.py
@@ -5,18 +5,18 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import IncompleteResponse, ResponseError
-from knapweeddock.gateway.attempt import AttemptResult, OutgoingRequest
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.forwardedmessages import (
+from knapweeddock.gateway.evidence.quarantine import Quarantined
+from knapweeddock.gateway.peering.forwardedmessages import (
     RESULT_HEADER,
     ForwardedRequest,
     ForwardedResult,
     Origin,
     encode_header,
 )
-from knapweeddock.gateway.quarantine import Quarantined
-from knapweeddock.gateway.requestcontext import RequestContext
-from knapweeddock.gateway.selection import Selection
+from knapweeddock.gateway.placement.selection import Selection
+from knapweeddock.gateway.requests.attempt import AttemptResult, OutgoingRequest
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
+from knapweeddock.gateway.requests.requestcontext import RequestContext
 from knapweeddock.gateway.wire import HeaderList, RequestMetadata, WireFormat
 from knapweeddock.http1.server import IncomingRequest
 
--- a/knapweeddock/gateway/serverconnector.py
+++ b/knapweeddock/gateway/requests/serverconnector.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from knapweeddock.errors import PeerUnavailable
-from knapweeddock.gateway.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
 from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.http1.client import HttpClientConnection, connect
 
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -10,48 +10,48 @@
 
 import structlog
 
-from knapweeddock.gateway.attempt import AttemptRunner
-from knapweeddock.gateway.attempttracker import AttemptTracker
 from knapweeddock.gateway.background import background
-from knapweeddock.gateway.connectionpool import ConnectionPool
-from knapweeddock.gateway.decisionlog import DecisionLog
-from knapweeddock.gateway.demand import SpilloverController
 from knapweeddock.gateway.endpoints import Endpoints
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.forward import Forwarder
-from knapweeddock.gateway.forwardedrequests import ForwardedRequests
-from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
+from knapweeddock.gateway.evidence.notices import make_notice_board
+from knapweeddock.gateway.evidence.outages import Outages
+from knapweeddock.gateway.evidence.probing import Prober
+from knapweeddock.gateway.evidence.reach import Reach
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.reachcheck import ReachChecker
+from knapweeddock.gateway.evidence.serverreports import ReportBoard
+from knapweeddock.gateway.limits.quotamembers import QuotaMembers
+from knapweeddock.gateway.limits.serverquotas import ServerQuotas
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase, Heartbeat, Member
+from knapweeddock.gateway.membership.peers import Peers, listen_for_heartbeats
+from knapweeddock.gateway.membership.regionfeed import RegionFeed
+from knapweeddock.gateway.membership.relay import RelayServer, listen_for_subscribers
+from knapweeddock.gateway.membership.updatesource import UpdateSource
 from knapweeddock.gateway.metrics import GatewayMetrics, GaugeValues
-from knapweeddock.gateway.notices import make_notice_board
-from knapweeddock.gateway.outages import Outages
-from knapweeddock.gateway.peerattempts import PeerAttempts
-from knapweeddock.gateway.peerchoice import PeerChoice, PeerView, view_peers
-from knapweeddock.gateway.peerforwarder import PeerForwarder
-from knapweeddock.gateway.peers import Peers, listen_for_heartbeats
-from knapweeddock.gateway.probing import Prober
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.quotamembers import QuotaMembers
-from knapweeddock.gateway.reach import Reach
-from knapweeddock.gateway.reachboard import ReachBoard
-from knapweeddock.gateway.reachcheck import ReachChecker
+from knapweeddock.gateway.peering.forwardedrequests import ForwardedRequests
+from knapweeddock.gateway.peering.peerattempts import PeerAttempts
+from knapweeddock.gateway.peering.peerchoice import PeerChoice, PeerView, view_peers
+from knapweeddock.gateway.peering.peerforwarder import PeerForwarder
+from knapweeddock.gateway.placement.demand import SpilloverController
+from knapweeddock.gateway.placement.fleet import Fleet
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.serverselection import ServerSelector
+from knapweeddock.gateway.placement.shiftlimit import ShiftLimit
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
-from knapweeddock.gateway.regionfeed import RegionFeed
-from knapweeddock.gateway.registrations import Registrations
-from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
-from knapweeddock.gateway.requestguard import RequestGuard
-from knapweeddock.gateway.responder import Responder
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.serverconnector import ServerConnector
-from knapweeddock.gateway.serverquotas import ServerQuotas
-from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import ServerSelector
+from knapweeddock.gateway.requests.attempt import AttemptRunner
+from knapweeddock.gateway.requests.attempttracker import AttemptTracker
+from knapweeddock.gateway.requests.connectionpool import ConnectionPool
+from knapweeddock.gateway.requests.decisionlog import DecisionLog
+from knapweeddock.gateway.requests.forward import Forwarder
+from knapweeddock.gateway.requests.requestguard import RequestGuard
+from knapweeddock.gateway.requests.responder import Responder
+from knapweeddock.gateway.requests.serverconnector import ServerConnector
 from knapweeddock.gateway.settings import GatewaySettings
-from knapweeddock.gateway.shiftlimit import ShiftLimit
 from knapweeddock.gateway.shutdown import close_in_time
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import StoreClient, Topic
-from knapweeddock.gateway.storewatcher import StoreWatcher
-from knapweeddock.gateway.updatesource import UpdateSource
+from knapweeddock.gateway.store.registrations import Registrations
+from knapweeddock.gateway.store.routingstate import RoutingState
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import StoreClient, Topic
+from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.server import ClientLimits, HttpListener, listening
 from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId, new_id
--- a/knapweeddock/gateway/inmemorystore.py
+++ b/knapweeddock/gateway/store/inmemorystore.py
@@ -6,7 +6,7 @@
 
 from knapweeddock.errors import EraChanged, HistoryGone, StoreUnavailable
 from knapweeddock.gateway.records import GatewayEntry
-from knapweeddock.gateway.storeclient import (
+from knapweeddock.gateway.store.storeclient import (
     Change,
     ChangeBatch,
     Snapshot,
@@ -14,7 +14,7 @@
     StoreObject,
     Topic,
 )
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.ids import Era, Revision, VmId
 
 FIRST_ERA = Era(1)
--- a/knapweeddock/gateway/registrations.py
+++ b/knapweeddock/gateway/store/registrations.py
@@ -20,8 +20,8 @@
 
 from knapweeddock.errors import StoreError
 from knapweeddock.gateway.records import Address, GatewayEntry, KeptSuspect
-from knapweeddock.gateway.storecache import Update
-from knapweeddock.gateway.storeclient import StoreClient, Topic
+from knapweeddock.gateway.store.storecache import Update
+from knapweeddock.gateway.store.storeclient import StoreClient, Topic
 from knapweeddock.ids import Era, VmId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/routingstate.py
+++ b/knapweeddock/gateway/store/routingstate.py
@@ -5,12 +5,12 @@
 
 import structlog
 
-from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.records import GatewayEntry
 from knapweeddock.gateway.routes import RouteSplits, RoutingConfig
-from knapweeddock.gateway.storecache import Update, to_changes
-from knapweeddock.gateway.storeclient import Change, StoreObject, Topic
-from knapweeddock.gateway.storereturn import (
+from knapweeddock.gateway.store.storecache import Update, to_changes
+from knapweeddock.gateway.store.storeclient import Change, StoreObject, Topic
+from knapweeddock.gateway.store.storereturn import (
     ReturnHolds,
     find_changed_objects,
     find_outdated_servers,
--- a/knapweeddock/gateway/storecache.py
+++ b/knapweeddock/gateway/store/storecache.py
@@ -5,8 +5,8 @@
 import msgspec
 import structlog
 
-from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, StoreObject, Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.store.storeclient import Change, ChangeBatch, Snapshot, StoreObject, Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 
 log = structlog.get_logger(__name__)
 
--- a/knapweeddock/gateway/storeclient.py
+++ b/knapweeddock/gateway/store/storeclient.py
@@ -9,7 +9,7 @@
 
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.storeposition import UNKNOWN_ERA, EraTracker, StorePosition
+from knapweeddock.gateway.store.storeposition import UNKNOWN_ERA, EraTracker, StorePosition
 from knapweeddock.ids import Era, FailureDomainId, VmId
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/storereturn.py
+++ b/knapweeddock/gateway/store/storereturn.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
-from knapweeddock.gateway.storeclient import Change, StoreObject, Topic
+from knapweeddock.gateway.store.storeclient import Change, StoreObject, Topic
 from knapweeddock.ids import ServerId
 
 DEPARTED_MEMORY_S = 120.0
--- a/knapweeddock/gateway/storewatcher.py
+++ b/knapweeddock/gateway/store/storewatcher.py
@@ -8,8 +8,8 @@
 import structlog
 
 from knapweeddock.errors import EraChanged, HistoryGone, StoreError
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import StoreClient, Topic
+from knapweeddock.gateway.store.storecache import StoreCache
+from knapweeddock.gateway.store.storeclient import StoreClient, Topic
 from knapweeddock.ids import Era
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -13,7 +13,7 @@
     ServerPhase,
 )
 from knapweeddock.gateway.routes import Route, RoutingConfig, ServicePolicy, WeightedService
-from knapweeddock.gateway.storeclient import StoreObject, Topic
+from knapweeddock.gateway.store.storeclient import StoreObject, Topic
 from knapweeddock.http1.server import ClientLimits
 from knapweeddock.ids import (
     FailureDomainId,
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -15,7 +15,7 @@
     VersionConflict,
 )
 from knapweeddock.gateway.records import Address, GatewayEntry
-from knapweeddock.gateway.storeclient import (
+from knapweeddock.gateway.store.storeclient import (
     Change,
     ChangeBatch,
     Snapshot,
@@ -23,7 +23,7 @@
     StoreObject,
     Topic,
 )
-from knapweeddock.gateway.storeposition import UNKNOWN_ERA, StorePosition
+from knapweeddock.gateway.store.storeposition import UNKNOWN_ERA, StorePosition
 from knapweeddock.http1.messages import Headers, get_header
 from knapweeddock.ids import Era, FailureDomainId, RegionId, Revision, VmId
 from knapweeddock.platform.documents import KINDS, decode, encode_gateway
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -9,8 +9,8 @@
 import msgspec
 import structlog
 
+from knapweeddock.gateway.limits.serverlimit import MAX_LIMIT_PER_S
 from knapweeddock.gateway.records import Address
-from knapweeddock.gateway.serverlimit import MAX_LIMIT_PER_S
 from knapweeddock.gateway.wire import (
     HeaderList,
     LookupQuery,
--- a/tests/gateway/test_coldreports.py
+++ b/tests/gateway/evidence/test_coldreports.py
@@ -1,12 +1,12 @@
 import pytest
 
-from knapweeddock.gateway.coldreports import (
+from knapweeddock.gateway.evidence.coldreports import (
     MAX_AGE_S,
     PRESUMED_COLD_S,
     ColdBoard,
     ColdReport,
 )
-from knapweeddock.gateway.duekeys import Direction, Source
+from knapweeddock.gateway.evidence.duekeys import Direction, Source
 from tests.gateway.support import (
     COLD_RATE_PER_S,
     LimitedGateway,
--- a/tests/gateway/test_duekeys.py
+++ b/tests/gateway/evidence/test_duekeys.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.duekeys import FORWARDED_TO, Direction, DueKeys, Source
+from knapweeddock.gateway.evidence.duekeys import FORWARDED_TO, Direction, DueKeys, Source
 
 
 def test_what_came_from_the_relay_is_not_sent_back_to_it():
--- a/tests/gateway/test_passivehealth.py
+++ b/tests/gateway/evidence/test_passivehealth.py
@@ -1,6 +1,10 @@
 import pytest
 
-from knapweeddock.gateway.passivehealth import DECAY_TIME_CONSTANT_S, MAX_BACKOFF_S, PassiveHealth
+from knapweeddock.gateway.evidence.passivehealth import (
+    DECAY_TIME_CONSTANT_S,
+    MAX_BACKOFF_S,
+    PassiveHealth,
+)
 
 
 def test_unreachable_server_is_left_alone_until_a_probe_answers():
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/evidence/test_quarantine.py
@@ -1,6 +1,6 @@
 import pytest
 
-from knapweeddock.gateway.quarantine import (
+from knapweeddock.gateway.evidence.quarantine import (
     SPREAD_S,
     TRIAL_DELAYS_S,
     TRIAL_SLOT_S,
@@ -12,7 +12,7 @@
     judge,
     time_to_trials_s,
 )
-from knapweeddock.gateway.suspect import MAX_ENDS, ServerEnd, Suspect, explains_its_ends
+from knapweeddock.gateway.evidence.suspect import MAX_ENDS, ServerEnd, Suspect, explains_its_ends
 from knapweeddock.ids import RequestDigest
 
 DIGEST = RequestDigest(b"d" * 16)
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/evidence/test_reach.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from knapweeddock.gateway.reach import (
+from knapweeddock.gateway.evidence.reach import (
     CHECK_INTERVAL_S,
     CHECKED_SERVERS,
     SILENCE_S,
@@ -12,7 +12,7 @@
     Reach,
     ReachState,
 )
-from knapweeddock.gateway.reachboard import ReachBoard
+from knapweeddock.gateway.evidence.reachboard import ReachBoard
 from tests.gateway.support import SERVICE, make_fleet, make_server, server_state
 
 NOW = 100.0
--- a/tests/gateway/test_serverreports.py
+++ b/tests/gateway/evidence/test_serverreports.py
@@ -1,6 +1,6 @@
 import pytest
 
-from knapweeddock.gateway.serverreports import MAX_AGE_S, ReportBoard, ServerReport
+from knapweeddock.gateway.evidence.serverreports import MAX_AGE_S, ReportBoard, ServerReport
 from tests.gateway.loadsimulation import LoadSimulation, Workload
 from tests.gateway.support import make_fleet, make_server, server_state
 
--- a/tests/gateway/test_suspectboard.py
+++ b/tests/gateway/evidence/test_suspectboard.py
@@ -1,8 +1,8 @@
 import pytest
 
-from knapweeddock.gateway.duekeys import Direction, Source
-from knapweeddock.gateway.suspect import ServerEnd
-from knapweeddock.gateway.suspectboard import (
+from knapweeddock.gateway.evidence.duekeys import Direction, Source
+from knapweeddock.gateway.evidence.suspect import ServerEnd
+from knapweeddock.gateway.evidence.suspectboard import (
     ANNOUNCED_S,
     MAX_REPORTS,
     MAX_SUSPECTS,
--- a/tests/gateway/test_dividedlimit.py
+++ b/tests/gateway/limits/test_dividedlimit.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweeddock.gateway.dividedlimit import (
+from knapweeddock.gateway.limits.dividedlimit import (
     COLD_WINDOW_S,
     NAMED_WINDOW_S,
     SentRequest,
--- a/tests/gateway/test_quotamembers.py
+++ b/tests/gateway/limits/test_quotamembers.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.quotamembers import ABSENCE_HOLD_S, SETTLE_S, QuotaMembers
+from knapweeddock.gateway.limits.quotamembers import ABSENCE_HOLD_S, SETTLE_S, QuotaMembers
 from tests.gateway.support import REGION, make_gateway, make_member
 
 NOW = 100.0
--- a/tests/gateway/test_retrybudget.py
+++ b/tests/gateway/limits/test_retrybudget.py
@@ -1,6 +1,6 @@
 import dataclasses
 
-from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
+from knapweeddock.gateway.limits.retrybudget import RetryBudgetLimits, RetryBudgetShare
 
 GATEWAYS = 11
 LIMITS = RetryBudgetLimits(ratio=0.2, allowance=62.0, window_s=10.0)
--- a/tests/gateway/test_serverlimit.py
+++ b/tests/gateway/limits/test_serverlimit.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.serverlimit import LIMIT_MEMORY_S, ServerLimit
+from knapweeddock.gateway.limits.serverlimit import LIMIT_MEMORY_S, ServerLimit
 
 NOW = 100.0
 
--- a/tests/gateway/test_serverpause.py
+++ b/tests/gateway/limits/test_serverpause.py
@@ -1,6 +1,6 @@
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.selection import Rejection, Selection
-from knapweeddock.gateway.serverpause import MAX_PAUSE_S, RESUME_S, ServerPause
+from knapweeddock.gateway.limits.serverpause import MAX_PAUSE_S, RESUME_S, ServerPause
+from knapweeddock.gateway.placement.selection import Rejection, Selection
 from tests.gateway.support import (
     make_fleet,
     make_selection_request,
--- a/tests/gateway/test_serverquotas.py
+++ b/tests/gateway/limits/test_serverquotas.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.serverquotas import MEMORY_S, ServerQuotas
+from knapweeddock.gateway.limits.serverquotas import MEMORY_S, ServerQuotas
 from tests.gateway.support import (
     make_fleet,
     make_quota_members,
--- a/tests/gateway/loadsimulation.py
+++ b/tests/gateway/loadsimulation.py
@@ -12,15 +12,15 @@
 from dataclasses import dataclass, field
 from itertools import accumulate, count
 
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.regionfeed import RegionFeed
-from knapweeddock.gateway.relay import PULSE_INTERVAL_S, REPORT_INTERVAL_S
-from knapweeddock.gateway.selection import Selection, SelectionRequest
-from knapweeddock.gateway.serverload import PendingRequest
-from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import ServerSelector
-from knapweeddock.gateway.shiftlimit import ShiftLimit
+from knapweeddock.gateway.evidence.serverreports import ReportBoard
+from knapweeddock.gateway.membership.regionfeed import RegionFeed
+from knapweeddock.gateway.membership.relay import PULSE_INTERVAL_S, REPORT_INTERVAL_S
+from knapweeddock.gateway.placement.fleet import Fleet
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.selection import Selection, SelectionRequest
+from knapweeddock.gateway.placement.serverload import PendingRequest
+from knapweeddock.gateway.placement.serverselection import ServerSelector
+from knapweeddock.gateway.placement.shiftlimit import ShiftLimit
 from tests.gateway.support import REGION, SERVICE, make_feed, make_quotas, make_route, make_server
 
 LINK_S = 0.002
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/membership/test_liveness.py
@@ -1,5 +1,5 @@
-from knapweeddock.gateway.heartbeats import HEARTBEAT_TIMEOUT_S, GatewayPhase
-from knapweeddock.gateway.liveness import Liveness
+from knapweeddock.gateway.membership.heartbeats import HEARTBEAT_TIMEOUT_S, GatewayPhase
+from knapweeddock.gateway.membership.liveness import Liveness
 from tests.gateway.support import make_heartbeat, make_member
 
 NOW = 100.0
--- a/tests/gateway/test_lookups.py
+++ b/tests/gateway/membership/test_lookups.py
@@ -1,7 +1,7 @@
 import random
 
-from knapweeddock.gateway.heartbeats import GatewayPhase
-from knapweeddock.gateway.lookups import MAX_GATEWAYS_PER_RESPONSE, choose_gateways
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase
+from knapweeddock.gateway.membership.lookups import MAX_GATEWAYS_PER_RESPONSE, choose_gateways
 from tests.gateway.support import make_gateway, make_member
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/membership/test_peers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from knapweeddock.gateway.peers import (
+from knapweeddock.gateway.membership.peers import (
     FIRST_RELAYS,
     MAX_OTHER_REGION_RECEIVERS,
     MAX_OWN_REGION_RECEIVERS,
@@ -10,7 +10,7 @@
     choose_receivers,
     listen_for_heartbeats,
 )
-from knapweeddock.gateway.relaytree import relay_order
+from knapweeddock.gateway.membership.relaytree import relay_order
 from tests.gateway.support import make_feed, make_gateway, make_heartbeat, make_server
 from tests.waiting import until
 
--- a/tests/gateway/test_regionfeed.py
+++ b/tests/gateway/membership/test_regionfeed.py
@@ -1,8 +1,12 @@
 import msgspec
 
-from knapweeddock.gateway.heartbeats import HEARTBEAT_INTERVAL_S, HEARTBEAT_TIMEOUT_S, GatewayPhase
-from knapweeddock.gateway.regionfeed import DEMAND_TIMEOUT_S, SAMPLE_SIZE, RegionFeed
-from knapweeddock.gateway.relay import PULSE_INTERVAL_S, REPORT_INTERVAL_S
+from knapweeddock.gateway.membership.heartbeats import (
+    HEARTBEAT_INTERVAL_S,
+    HEARTBEAT_TIMEOUT_S,
+    GatewayPhase,
+)
+from knapweeddock.gateway.membership.regionfeed import DEMAND_TIMEOUT_S, SAMPLE_SIZE, RegionFeed
+from knapweeddock.gateway.membership.relay import PULSE_INTERVAL_S, REPORT_INTERVAL_S
 from tests.gateway.support import SERVICE, make_feed, make_heartbeat, make_member
 
 STEP_S = 0.05
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/membership/test_relay.py
@@ -5,13 +5,13 @@
 import pytest
 
 from knapweeddock.errors import PeerUnavailable
-from knapweeddock.gateway import relay as relay_module
-from knapweeddock.gateway.regionfeed import Pulse
-from knapweeddock.gateway.relay import RelayServer, subscribe
-from knapweeddock.gateway.relaytree import MAX_RELAY_DEPTH
+from knapweeddock.gateway.membership import relay as relay_module
+from knapweeddock.gateway.membership.regionfeed import Pulse
+from knapweeddock.gateway.membership.relay import RelayServer, subscribe
+from knapweeddock.gateway.membership.relaytree import MAX_RELAY_DEPTH
 from knapweeddock.gateway.routes import RoutingConfig, ServicePolicy
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, Topic
+from knapweeddock.gateway.store.storecache import StoreCache
+from knapweeddock.gateway.store.storeclient import Change, ChangeBatch, Snapshot, Topic
 from tests.gateway.support import SERVICE, at, make_feed, make_gateway, make_route, make_server
 from tests.waiting import until
 
--- a/tests/gateway/test_relaymessages.py
+++ b/tests/gateway/membership/test_relaymessages.py
@@ -4,12 +4,12 @@
 import pytest
 
 from knapweeddock.errors import MessageError
-from knapweeddock.gateway.regionfeed import Pulse
-from knapweeddock.gateway.relaymessages import LENGTH_PREFIX, Compressed, decode, encode
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import Snapshot, Topic
+from knapweeddock.gateway.membership.regionfeed import Pulse
+from knapweeddock.gateway.membership.relaymessages import LENGTH_PREFIX, Compressed, decode, encode
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import Snapshot, Topic
+from tests.gateway.membership.test_relay import CONFIG, populated_cache
 from tests.gateway.support import at, make_server
-from tests.gateway.test_relay import CONFIG, populated_cache
 
 
 @pytest.mark.parametrize("topic", list(Topic))
--- a/tests/gateway/test_relaytree.py
+++ b/tests/gateway/membership/test_relaytree.py
@@ -4,9 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweeddock.gateway.configpatch import make_patch
-from knapweeddock.gateway.relaymessages import ConfigUpdate, encode
-from knapweeddock.gateway.relaytree import RELAY_FAN_OUT, RelayTree, relay_order
+from knapweeddock.gateway.membership.relaymessages import ConfigUpdate, encode
+from knapweeddock.gateway.membership.relaytree import RELAY_FAN_OUT, RelayTree, relay_order
+from knapweeddock.gateway.store.configpatch import make_patch
 from tests.gateway.support import at
 from tests.gateway.test_large_configurations import (
     CONFIG_BOUND_S,
--- a/tests/gateway/test_updatesource.py
+++ b/tests/gateway/membership/test_updatesource.py
@@ -4,16 +4,17 @@
 import time
 from collections.abc import AsyncIterator
 
-from knapweeddock.gateway import relay as relay_module
-from knapweeddock.gateway import relaytree, storewatcher, updatesource
-from knapweeddock.gateway.inmemorystore import InMemoryStore
-from knapweeddock.gateway.relay import RelayServer, listen_for_subscribers
-from knapweeddock.gateway.relaytree import MIN_RELAYS, RelayTree, relay_order
+from knapweeddock.gateway.membership import relay as relay_module
+from knapweeddock.gateway.membership import relaytree, updatesource
+from knapweeddock.gateway.membership.relay import RelayServer, listen_for_subscribers
+from knapweeddock.gateway.membership.relaytree import MIN_RELAYS, RelayTree, relay_order
+from knapweeddock.gateway.membership.updatesource import UpdateSource
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storewatcher import StoreWatcher
-from knapweeddock.gateway.updatesource import UpdateSource
+from knapweeddock.gateway.store import storewatcher
+from knapweeddock.gateway.store.inmemorystore import InMemoryStore
+from knapweeddock.gateway.store.storecache import StoreCache
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from tests.gateway.support import make_feed, make_gateway
 from tests.platform.world import free_port
 from tests.waiting import until
--- a/tests/gateway/test_forwardedmessages.py
+++ b/tests/gateway/peering/test_forwardedmessages.py
@@ -6,7 +6,7 @@
 
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import MessageError
-from knapweeddock.gateway.forwardedmessages import (
+from knapweeddock.gateway.peering.forwardedmessages import (
     MAX_HEADER_BYTES,
     REQUEST_HEADER,
     RESULT_HEADER,
--- a/tests/gateway/test_peerchoice.py
+++ b/tests/gateway/peering/test_peerchoice.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from knapweeddock.gateway.heartbeats import GatewayPhase, Member
-from knapweeddock.gateway.peerchoice import (
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase, Member
+from knapweeddock.gateway.peering.peerchoice import (
     FAILURE_PAUSE_S,
     LOAD_MEMORY_S,
     NEAR_REQUESTS,
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/placement/test_demand.py
@@ -1,8 +1,8 @@
 import pytest
 
-from knapweeddock.gateway.demand import RequestRate, SpilloverController
-from knapweeddock.gateway.heartbeats import Heartbeat
-from knapweeddock.gateway.processingtimes import ProcessingTimes
+from knapweeddock.gateway.membership.heartbeats import Heartbeat
+from knapweeddock.gateway.placement.demand import RequestRate, SpilloverController
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
 from tests.gateway.support import (
     SERVICE,
     make_feed,
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/placement/test_fleet.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.records import ServerPhase
 from tests.gateway.support import (
     REGION,
--- a/tests/gateway/test_processingtimes.py
+++ b/tests/gateway/placement/test_processingtimes.py
@@ -1,6 +1,6 @@
 import pytest
 
-from knapweeddock.gateway.processingtimes import CACHE_LIFETIME_S, ProcessingTimes
+from knapweeddock.gateway.placement.processingtimes import CACHE_LIFETIME_S, ProcessingTimes
 from tests.gateway.support import SERVICE, make_route
 
 
--- a/tests/gateway/test_serverload.py
+++ b/tests/gateway/placement/test_serverload.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.serverload import (
+from knapweeddock.gateway.placement.serverload import (
     DECAY_TIME_CONSTANT_S,
     MEAN_TIME_CONSTANT_S,
     PendingRequest,
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/placement/test_serverselection.py
@@ -1,9 +1,9 @@
 import heapq
 
 from knapweeddock.codes import ResultCode
-from knapweeddock.gateway.selection import Rejection, Selection
-from knapweeddock.gateway.serverload import PendingRequest
-from knapweeddock.gateway.spillover import SpilloverShares
+from knapweeddock.gateway.placement.selection import Rejection, Selection
+from knapweeddock.gateway.placement.serverload import PendingRequest
+from knapweeddock.gateway.placement.spillover import SpilloverShares
 from tests.gateway.support import (
     SERVICE,
     add_pending_requests,
--- a/tests/gateway/test_shiftlimit.py
+++ b/tests/gateway/placement/test_shiftlimit.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.shiftlimit import WINDOW_S, ShiftLimit
+from knapweeddock.gateway.placement.shiftlimit import WINDOW_S, ShiftLimit
 
 MAX_SHIFT = 0.15
 
--- a/tests/gateway/test_spillover.py
+++ b/tests/gateway/placement/test_spillover.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from knapweeddock.gateway.spillover import (
+from knapweeddock.gateway.placement.spillover import (
     CACHED_OBJECTS_PER_SERVER,
     TARGET_UTILIZATION,
     RegionLoad,
--- a/tests/gateway/test_connectionpool.py
+++ b/tests/gateway/requests/test_connectionpool.py
@@ -1,7 +1,7 @@
 import asyncio
 
-from knapweeddock.gateway import connectionpool
-from knapweeddock.gateway.connectionpool import ConnectionPool
+from knapweeddock.gateway.requests import connectionpool
+from knapweeddock.gateway.requests.connectionpool import ConnectionPool
 from knapweeddock.http1.client import HttpClientConnection, connect
 from tests.gateway.support import make_server
 from tests.http1.scripted import respond_with, scripted_server
--- a/tests/gateway/test_requestdigest.py
+++ b/tests/gateway/requests/test_requestdigest.py
@@ -1,6 +1,10 @@
 import pytest
 
-from knapweeddock.gateway.requestdigest import DIGESTED_BODY_BYTES, request_digest, split_target
+from knapweeddock.gateway.requests.requestdigest import (
+    DIGESTED_BODY_BYTES,
+    request_digest,
+    split_target,
+)
 from knapweeddock.http1.messages import RequestHead
 
 
--- a/tests/gateway/test_configpatch.py
+++ b/tests/gateway/store/test_configpatch.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 
 from knapweeddock.errors import PatchMismatch
-from knapweeddock.gateway.configpatch import apply_patch, make_patch
 from knapweeddock.gateway.routes import RoutingConfig, ServicePolicy
+from knapweeddock.gateway.store.configpatch import apply_patch, make_patch
 from tests.gateway.support import SERVICE, make_route
 
 ROUTES = st.lists(
--- a/tests/gateway/test_registrations.py
+++ b/tests/gateway/store/test_registrations.py
@@ -3,10 +3,10 @@
 
 import pytest
 
-from knapweeddock.gateway import registrations
-from knapweeddock.gateway.inmemorystore import InMemoryStore
-from knapweeddock.gateway.registrations import GATEWAY_EXPIRY_S, ExpiryTracker, Registrations
-from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.gateway.store import registrations
+from knapweeddock.gateway.store.inmemorystore import InMemoryStore
+from knapweeddock.gateway.store.registrations import GATEWAY_EXPIRY_S, ExpiryTracker, Registrations
+from knapweeddock.gateway.store.storeclient import Topic
 from tests.gateway.support import make_gateway
 
 START = 1000.0
--- a/tests/gateway/test_storecache.py
+++ b/tests/gateway/store/test_storecache.py
@@ -1,5 +1,5 @@
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, Topic
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import Change, ChangeBatch, Snapshot, Topic
 from tests.gateway.support import at, make_server
 
 
--- a/tests/gateway/test_storeposition.py
+++ b/tests/gateway/store/test_storeposition.py
@@ -1,4 +1,4 @@
-from knapweeddock.gateway.storeposition import UNKNOWN_ERA, EraTracker
+from knapweeddock.gateway.store.storeposition import UNKNOWN_ERA, EraTracker
 from tests.gateway.support import at
 
 
--- a/tests/gateway/test_storereturn.py
+++ b/tests/gateway/store/test_storereturn.py
@@ -1,10 +1,10 @@
-from knapweeddock.gateway.fleet import Fleet
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.records import ServerPhase
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, Topic
-from knapweeddock.gateway.storereturn import (
+from knapweeddock.gateway.store.routingstate import RoutingState
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import Change, ChangeBatch, Snapshot, Topic
+from knapweeddock.gateway.store.storereturn import (
     DEPARTED_MEMORY_S,
     DepartedServers,
     find_outdated_servers,
--- a/tests/gateway/test_storereturn_fuzz.py
+++ b/tests/gateway/store/test_storereturn_fuzz.py
@@ -11,14 +11,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.inmemorystore import StoreContents
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.records import ServerEntry, ServerPhase
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.storecache import StoreCache, Update
-from knapweeddock.gateway.storeclient import ChangeBatch, Snapshot, Topic
-from knapweeddock.gateway.storeposition import EraTracker, StorePosition
+from knapweeddock.gateway.store.inmemorystore import StoreContents
+from knapweeddock.gateway.store.routingstate import RoutingState
+from knapweeddock.gateway.store.storecache import StoreCache, Update
+from knapweeddock.gateway.store.storeclient import ChangeBatch, Snapshot, Topic
+from knapweeddock.gateway.store.storeposition import EraTracker, StorePosition
 from knapweeddock.ids import Era
 from tests.gateway.support import REGION, SERVICE, make_server
 
--- a/tests/gateway/test_storewatcher.py
+++ b/tests/gateway/store/test_storewatcher.py
@@ -4,14 +4,14 @@
 import time
 from collections.abc import AsyncIterator
 
-from knapweeddock.gateway import storewatcher
-from knapweeddock.gateway.fleet import Fleet
-from knapweeddock.gateway.inmemorystore import InMemoryStore
+from knapweeddock.gateway.placement.fleet import Fleet
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.storecache import StoreCache
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storewatcher import StoreWatcher
+from knapweeddock.gateway.store import storewatcher
+from knapweeddock.gateway.store.inmemorystore import InMemoryStore
+from knapweeddock.gateway.store.routingstate import RoutingState
+from knapweeddock.gateway.store.storecache import StoreCache
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from tests.gateway.support import make_server
 from tests.waiting import until
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -2,26 +2,26 @@
 
 import random
 
-from knapweeddock.gateway.dividedlimit import COLD_USED_FRACTION
-from knapweeddock.gateway.fleet import Fleet, ServerState
-from knapweeddock.gateway.heartbeats import GatewayPhase, Heartbeat, Member
-from knapweeddock.gateway.notices import make_notice_board
-from knapweeddock.gateway.processingtimes import ProcessingTimes
-from knapweeddock.gateway.quotamembers import QuotaMembers
+from knapweeddock.gateway.evidence.notices import make_notice_board
+from knapweeddock.gateway.evidence.serverreports import ReportBoard
+from knapweeddock.gateway.limits.dividedlimit import COLD_USED_FRACTION
+from knapweeddock.gateway.limits.quotamembers import QuotaMembers
+from knapweeddock.gateway.limits.serverquotas import ServerQuotas
+from knapweeddock.gateway.membership.heartbeats import GatewayPhase, Heartbeat, Member
+from knapweeddock.gateway.membership.regionfeed import RegionFeed
+from knapweeddock.gateway.placement.fleet import Fleet, ServerState
+from knapweeddock.gateway.placement.processingtimes import ProcessingTimes
+from knapweeddock.gateway.placement.selection import SelectionRequest
+from knapweeddock.gateway.placement.serverload import PendingRequest
+from knapweeddock.gateway.placement.serverselection import ServerSelector
+from knapweeddock.gateway.placement.shiftlimit import ShiftLimit
 from knapweeddock.gateway.records import GatewayEntry, ServerEntry, ServerPhase
-from knapweeddock.gateway.regionfeed import RegionFeed
 from knapweeddock.gateway.routes import Route, WeightedService
-from knapweeddock.gateway.routingstate import RoutingState
-from knapweeddock.gateway.selection import SelectionRequest
-from knapweeddock.gateway.serverload import PendingRequest
-from knapweeddock.gateway.serverquotas import ServerQuotas
-from knapweeddock.gateway.serverreports import ReportBoard
-from knapweeddock.gateway.serverselection import ServerSelector
 from knapweeddock.gateway.service import MAINTENANCE_INTERVAL_S
-from knapweeddock.gateway.shiftlimit import ShiftLimit
-from knapweeddock.gateway.storecache import Update
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.store.routingstate import RoutingState
+from knapweeddock.gateway.store.storecache import Update
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 
 SERVICE = "ledger"
 REGION = "north"
--- a/tests/gateway/test_cold_server_sums.py
+++ b/tests/gateway/test_cold_server_sums.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from knapweeddock.gateway.retrybudget import RetryBudgetLimits, RetryBudgetShare
+from knapweeddock.gateway.limits.retrybudget import RetryBudgetLimits, RetryBudgetShare
 from tests.gateway.support import COLD_RATE_PER_S, LimitedGateway, make_server
 
 STEP_S = 0.02
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -5,10 +5,10 @@
 
 from knapweeddock.errors import PatchMismatch
 from knapweeddock.gateway.routes import Route, RoutingConfig, ServicePolicy
-from knapweeddock.gateway.storeclient import Change, ChangeBatch, Snapshot, Topic
+from knapweeddock.gateway.store.storeclient import Change, ChangeBatch, Snapshot, Topic
+from tests.gateway.membership.test_relay import CONFIG, running_relay, running_subscriber
 from tests.gateway.slowlink import slow_link
 from tests.gateway.support import SERVICE, at, make_route
-from tests.gateway.test_relay import CONFIG, running_relay, running_subscriber
 from tests.waiting import until
 
 ROUTE_COUNT = 2000
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 
 from knapweeddock.gateway.records import KeptEnd, KeptSuspect, ServerPhase
-from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.gateway.store.storeclient import Topic
 from knapweeddock.ids import RequestDigest
 from knapweeddock.platform.documents import decode, encode_gateway
 from knapweeddock.platform.values import DocumentError
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,8 +11,8 @@
     StoreError,
     StoreUnavailable,
 )
-from knapweeddock.gateway.storeclient import Topic
-from knapweeddock.gateway.storeposition import StorePosition
+from knapweeddock.gateway.store.storeclient import Topic
+from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.platform.store import PlatformStoreClient, store_http
 from standins import documents
 from standins.metastore import PAGE, StoreFault, running_metastore
--- a/tests/test_fleetstatus.py
+++ b/tests/test_fleetstatus.py
@@ -14,10 +14,10 @@
     fleet_status,
     gauge,
 )
-from knapweeddock.gateway.inmemorystore import InMemoryStore
 from knapweeddock.gateway.records import ServerPhase
 from knapweeddock.gateway.routes import RoutingConfig
-from knapweeddock.gateway.storeclient import Topic
+from knapweeddock.gateway.store.inmemorystore import InMemoryStore
+from knapweeddock.gateway.store.storeclient import Topic
 from knapweeddock.ids import FailureDomainId, Version
 from knapweeddock.render import render
 from standins import documents
