--- a/knapweeddock/gateway/endpoints.py
+++ b/knapweeddock/gateway/endpoints.py
@@ -1,20 +1,26 @@
 """What a gateway answers besides requests for servers: readiness, look-ups and metrics."""
 
+import contextlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
+import structlog
+
 from knapweeddock.gateway.membership import lookups
 from knapweeddock.gateway.membership.heartbeats import GatewayPhase
 from knapweeddock.gateway.membership.regionfeed import RegionFeed
 from knapweeddock.gateway.metrics import GatewayMetrics
+from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.messages import get_header_text
-from knapweeddock.http1.server import IncomingRequest
+from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
 from knapweeddock.metrics import METRICS_PATH
 
+log = structlog.get_logger(__name__)
+
 LOOKUP_TTL_FRACTION = 0.4
 """TTL of look-up responses as a fraction of the longest one that callers accept."""
 
@@ -92,3 +98,34 @@
         request.response.send(
             lookups.response_status(entries), [(b"Content-Type", b"application/json")], body
         )
+
+
+@contextlib.asynccontextmanager
+async def serving_endpoints(endpoints: Endpoints, settings: GatewaySettings) -> AsyncIterator[None]:
+    """Answer readiness checks, look-ups and scrapes within the block.
+
+    The configuration limits clients' requests only; these have the default limits.
+    """
+    ready = HttpListener(handler=endpoints.handle_ready, get_limits=ClientLimits)
+    lookup = HttpListener(handler=endpoints.handle_lookup, get_limits=ClientLimits)
+    async with (
+        listening(ready, settings.ready),
+        listening(lookup, settings.lookup),
+        _serving_metrics(endpoints, settings),
+    ):
+        yield
+
+
+@contextlib.asynccontextmanager
+async def _serving_metrics(endpoints: Endpoints, settings: GatewaySettings) -> AsyncIterator[None]:
+    """Serve metrics, or only log an error if their port cannot be bound.
+
+    Requests do not depend on metrics.
+    """
+    listener = HttpListener(handler=endpoints.handle_metrics, get_limits=ClientLimits)
+    async with contextlib.AsyncExitStack() as stack:
+        try:
+            await stack.enter_async_context(listening(listener, settings.metrics))
+        except OSError as error:
+            log.error("metrics unavailable", reason=str(error))
+        yield
--- a/knapweeddock/gateway/metrics.py
+++ b/knapweeddock/gateway/metrics.py
@@ -104,6 +104,13 @@
             "knapweed_store_age_seconds", "Time since the store answered last."
         )
         self.store_calls = process.gauge("knapweed_store_calls", "Calls to the store.")
+        self._add_gauges(process)
+        self.request_counts: Counter[RequestLabels] = Counter()
+        self.attempt_counts: Counter[AttemptOutcome] = Counter()
+        self.forwarded_counts: Counter[tuple[str, str]] = Counter()
+        self.route_histograms: dict[RouteId, Histogram] = {}
+
+    def _add_gauges(self, process: ProcessMetrics) -> None:
         self.active_requests = process.gauge(
             "knapweed_active_requests", "Requests without a response."
         )
@@ -130,10 +137,6 @@
         self.stalled_seconds = process.gauge(
             "knapweed_stalled_seconds", "Time for which the process did not run."
         )
-        self.request_counts: Counter[RequestLabels] = Counter()
-        self.attempt_counts: Counter[AttemptOutcome] = Counter()
-        self.forwarded_counts: Counter[tuple[str, str]] = Counter()
-        self.route_histograms: dict[RouteId, Histogram] = {}
 
     def record_request(self, labels: RequestLabels, seconds: float) -> None:
         """Count a request that ended, however it did.
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -11,7 +11,7 @@
 import structlog
 
 from knapweeddock.gateway.background import background
-from knapweeddock.gateway.endpoints import Endpoints
+from knapweeddock.gateway.endpoints import Endpoints, serving_endpoints
 from knapweeddock.gateway.evidence.notices import make_notice_board
 from knapweeddock.gateway.evidence.outages import Outages
 from knapweeddock.gateway.evidence.probing import Prober
@@ -53,7 +53,7 @@
 from knapweeddock.gateway.store.storeclient import StoreClient, Topic
 from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from knapweeddock.gateway.wire import WireFormat
-from knapweeddock.http1.server import ClientLimits, HttpListener, listening
+from knapweeddock.http1.server import HttpListener, listening, listening_if
 from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId, new_id
 from knapweeddock.stalls import watch_from_now
 
@@ -112,6 +112,7 @@
         self._pruned_revision = -1
         self._build_store_sync()
         self._build_coordination()
+        self._build_attempts()
         self._build_forwarding()
         self._build_listeners()
 
@@ -203,7 +204,7 @@
             link_mbps=settings.link_mbps,
         )
 
-    def _build_forwarding(self) -> None:
+    def _build_attempts(self) -> None:
         limits = self.settings.limits
         self.attempt_tracker = AttemptTracker(
             processing_times=self.processing_times,
@@ -215,7 +216,7 @@
             gateway_count=self.quota_members.count,
             now=time.monotonic,
         )
-        server_selector = ServerSelector(
+        self.server_selector = ServerSelector(
             fleet=self.routing_state.fleet,
             processing_times=self.processing_times,
             failure_domain=self.settings.failure_domain,
@@ -229,11 +230,13 @@
             shares_by_service=self.spillover_controller.shares_by_service,
             rng=self.rng,
         )
-        attempt_runner = AttemptRunner(wire=self.wire, pool=self.connection_pool)
+        self.attempt_runner = AttemptRunner(wire=self.wire, pool=self.connection_pool)
+
+    def _build_forwarding(self) -> None:
         self.peer_forwarder = PeerForwarder(
             vm=self.settings.vm,
             wire=self.wire,
-            attempt_runner=attempt_runner,
+            attempt_runner=self.attempt_runner,
             choice=PeerChoice(own=self._registration_entry(), rng=self.rng),
             view=self._view_peers,
         )
@@ -245,29 +248,15 @@
         self.forwarder = Forwarder(
             routing_state=self.routing_state,
             wire=self.wire,
-            attempt_runner=attempt_runner,
-            server_selector=server_selector,
+            attempt_runner=self.attempt_runner,
+            server_selector=self.server_selector,
             attempt_tracker=self.attempt_tracker,
             decision_log=self.decision_log,
-            request_guard=RequestGuard(
-                vm=self.settings.vm,
-                board=self.notice_board.suspects,
-                fleet=self.routing_state.fleet,
-                prober=self.prober,
-                gateway_vms=self.quota_members.all_vms,
-                reach_board=self.reach_board,
-                decision_log=self.decision_log,
-            ),
+            request_guard=self._request_guard(),
             responder=self.responder,
             reach_board=self.reach_board,
             reach_checker=self.reach_checker,
-            peer_attempts=PeerAttempts(
-                forwarder=self.peer_forwarder,
-                reach_board=self.reach_board,
-                attempt_tracker=self.attempt_tracker,
-                responder=self.responder,
-                decision_log=self.decision_log,
-            ),
+            peer_attempts=self._peer_attempts(),
         )
         self.forwarded_requests = ForwardedRequests(
             routing_state=self.routing_state,
@@ -279,6 +268,26 @@
             is_leaving=lambda: self.phase is not GatewayPhase.SERVING,
         )
 
+    def _peer_attempts(self) -> PeerAttempts:
+        return PeerAttempts(
+            forwarder=self.peer_forwarder,
+            reach_board=self.reach_board,
+            attempt_tracker=self.attempt_tracker,
+            responder=self.responder,
+            decision_log=self.decision_log,
+        )
+
+    def _request_guard(self) -> RequestGuard:
+        return RequestGuard(
+            vm=self.settings.vm,
+            board=self.notice_board.suspects,
+            fleet=self.routing_state.fleet,
+            prober=self.prober,
+            gateway_vms=self.quota_members.all_vms,
+            reach_board=self.reach_board,
+            decision_log=self.decision_log,
+        )
+
     def _build_listeners(self) -> None:
         self.front_listener = HttpListener(
             handler=self.forwarder.handle, get_limits=self.routing_state.client_limits
@@ -288,7 +297,7 @@
             get_limits=self.forwarded_requests.limits,
             accepts=self._is_gateway,
         )
-        endpoints = Endpoints(
+        self.endpoints = Endpoints(
             wire=self.wire,
             routing_state=self.routing_state,
             feed=self.feed,
@@ -297,14 +306,6 @@
             max_lookup_ttl_s=lambda: self.settings.limits.max_lookup_ttl_s,
             rng=self.rng,
         )
-        # The configuration limits clients' requests only; the others have the default limits.
-        self.ready_listener = HttpListener(handler=endpoints.handle_ready, get_limits=ClientLimits)
-        self.metrics_listener = HttpListener(
-            handler=endpoints.handle_metrics, get_limits=ClientLimits
-        )
-        self.lookup_listener = HttpListener(
-            handler=endpoints.handle_lookup, get_limits=ClientLimits
-        )
 
     def _view_peers(self) -> PeerView:
         members = self.feed.live_members(time.monotonic())
@@ -396,39 +397,14 @@
     async def _listen(self) -> AsyncIterator[None]:
         settings = self.settings
         async with (
-            listening(self.ready_listener, settings.ready),
-            listening(self.lookup_listener, settings.lookup),
+            serving_endpoints(self.endpoints, settings),
             listening(self.front_listener, settings.front),
-            self._serve_metrics(),
-            self._serve_peers(),
+            listening_if(self.forwarding_listener, settings.forwarding),
             listen_for_heartbeats(self.peers, settings.peer),
             listen_for_subscribers(self.relay, settings.peer),
         ):
             yield
 
-    @contextlib.asynccontextmanager
-    async def _serve_metrics(self) -> AsyncIterator[None]:
-        """Serve metrics, or only log an error if their port cannot be bound.
-
-        Requests do not depend on metrics.
-        """
-        async with contextlib.AsyncExitStack() as stack:
-            try:
-                listener = listening(self.metrics_listener, self.settings.metrics)
-                await stack.enter_async_context(listener)
-            except OSError as error:
-                log.error("metrics unavailable", reason=str(error))
-            yield
-
-    @contextlib.asynccontextmanager
-    async def _serve_peers(self) -> AsyncIterator[None]:
-        """Accept requests that peers forward, if there is a port for them."""
-        async with contextlib.AsyncExitStack() as stack:
-            if self.settings.forwarding is not None:
-                listener = listening(self.forwarding_listener, self.settings.forwarding)
-                await stack.enter_async_context(listener)
-            yield
-
     async def _maintain(self) -> None:
         while True:
             now = time.monotonic()
--- a/knapweeddock/http1/server.py
+++ b/knapweeddock/http1/server.py
@@ -29,6 +29,9 @@
 """Time in seconds for which a connection stays half-closed, so that a client that is
 still sending can read its response."""
 
+MAX_REFUSED_HOSTS = 100
+"""Largest number of hosts whose refused connections are logged, each once."""
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -109,7 +112,7 @@
         self.transport = transport
         host = (transport.get_extra_info("peername") or ("",))[0]
         if not self.listener.accepts(host):
-            log.warning("connection not accepted", host=host)
+            self.listener.log_refusal(host)
             self.closing = True
             transport.abort()
             return
@@ -417,6 +420,7 @@
         self.get_limits = get_limits
         self.connections: set[HttpServerConnection] = set()
         self.draining = False
+        self._refused_hosts: set[str] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -432,6 +436,12 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
+    def log_refusal(self, host: str) -> None:
+        """Log the first connection from a host that is not accepted."""
+        if host not in self._refused_hosts and len(self._refused_hosts) < MAX_REFUSED_HOSTS:
+            self._refused_hosts.add(host)
+            log.warning("connection not accepted", host=host)
+
     @property
     def is_listening(self) -> bool:
         """Whether new connections are accepted."""
@@ -472,3 +482,14 @@
         yield
     finally:
         listener.close()
+
+
+@contextlib.asynccontextmanager
+async def listening_if(
+    listener: HttpListener, address: tuple[str, int] | None
+) -> AsyncIterator[None]:
+    """Listen on ``address`` within the block, unless there is none."""
+    async with contextlib.AsyncExitStack() as stack:
+        if address is not None:
+            await stack.enter_async_context(listening(listener, address))
+        yield
--- a/tests/platform/test_forwarded_requests.py
+++ b/tests/platform/test_forwarded_requests.py
@@ -195,6 +195,7 @@
         writer.close()
         cut = [server.cut for server in region.world.servers.values()]
         await until(lambda: any("leaves" in each for each in cut))
+        assert region.world.ran() == ["leaves"]
 
 
 async def test_deadline_holds_over_both_gateways(settings_path):
--- a/tests/platform/test_joining_gateways.py
+++ b/tests/platform/test_joining_gateways.py
@@ -19,3 +19,4 @@
             return {member.vm for member in world.gateway.feed.live_members(now)}
 
         await until(lambda: "front-north-b-1" in live_vms())
+        assert len(live_vms()) == 3
