Give requests in tests of cut gateways longer timeouts

The process, which runs the gateways, the servers and the callers, had stalled for 1.44 s with 0.24 s of processor time meanwhile (its lines in the output). What is asked of the gateways stays the same: all 40 are served.

--- a/tests/platform/test_cut_off_gateways.py
+++ b/tests/platform/test_cut_off_gateways.py
@@ -8,6 +8,7 @@
 import pytest
 
 from knapweeddock.gateway.service import Gateway
+from standins import documents
 from tests.platform.cutlinks import CutLinks, NewConnections, OpenConnections, cut_links
 from tests.platform.world import World, running_world
 from tests.waiting import until
@@ -15,6 +16,11 @@
 STABLE_WINDOW_S = 3.0
 """Time in seconds after the begin of a cut from which callers must be served."""
 
+TIMEOUT = "4s"
+BUDGET_MS = 4000
+"""Timeouts of routes and of clients. All parts run in one process, which stalls for more than a
+second where others use the processors."""
+
 CUTS = list(itertools.product(NewConnections, OpenConnections))
 CUT_NAMES = [f"{new.value}, {open_ones.value}" for new, open_ones in CUTS]
 
@@ -55,6 +61,7 @@
                         method=method,
                         key=str(index),
                         request_id=f"{name}-{index}",
+                        budget_ms=BUDGET_MS,
                         gateway=gateway,
                     )
                 )
@@ -70,6 +77,11 @@
         for index, (name, server) in enumerate(world.servers.items()):
             zone = "north-a" if index % 2 else "north-b"
             world.store.put("servers", name, server.entry(world.addresses[name], zone, "ledger"))
+        rows = [
+            documents.route_row("r-read", "/read/", "safe", Timeout=TIMEOUT),
+            documents.route_row("r-book", "/book/", "unsafe", Timeout=TIMEOUT),
+        ]
+        world.store.put("config", "main", documents.config("00000008", rows))
         gateways = [world.gateway]
         for node, zone in others:
             gateways.append(await stack.enter_async_context(world.another_gateway(node, zone)))
@@ -77,6 +89,7 @@
         count = len(gateways)
         await until(lambda: all(len(each.routing_state.gateways) == count for each in gateways))
         await until(lambda: all(knows_all(each, count) for each in gateways))
+        await until(lambda: all(each.routing_state.config.version == 8 for each in gateways))
         yield Region(world, gateways, links)
 
 
