Never call a long request not run that a peer has lost

A request whose body is passed on while it arrives cannot be sent again, and the rule for that came before the one that notes a lost response: the client got 503, not run, for a request that had run behind the peer. The new test failed before; the client gets 502.

--- a/knapweeddock/gateway/peering/peerattempts.py
+++ b/knapweeddock/gateway/peering/peerattempts.py
@@ -112,20 +112,21 @@
 
         One that was lost after it was sent may have run.
         """
-        if not outgoing.is_fully_buffered:
-            return False
+        can_be_repeated = outgoing.is_fully_buffered
         match reply.result.outcome:
             case AttemptOutcome.UNREACHABLE:
-                return True
+                return can_be_repeated
             case AttemptOutcome.NOT_RUN:
                 is_refusal_of_peer = reply.told.code in REFUSALS_OF_PEER
                 has_new_attempts = reply.told.sent_attempts > len(context.received_by)
-                return is_refusal_of_peer and not has_new_attempts
+                return can_be_repeated and is_refusal_of_peer and not has_new_attempts
             case _:
                 context.response_lost = True
                 context.sent_attempts += 1
                 may_repeat = context.route.idempotent and not context.is_suspect
-                return may_repeat and self.attempt_tracker.try_acquire_retry(context, reply.result)
+                if not (can_be_repeated and may_repeat):
+                    return False
+                return self.attempt_tracker.try_acquire_retry(context, reply.result)
 
     async def _respond_with_reply(self, context: RequestContext, reply: PeerReply) -> None:
         """Pass on a server's response from a peer, or the peer's own failure."""
--- a/tests/platform/test_forwarded_requests.py
+++ b/tests/platform/test_forwarded_requests.py
@@ -389,3 +389,22 @@
         # A request that the peer refuses goes to another one.
         assert statuses == {200: 90}
         await region.world.running
+
+
+async def test_long_body_that_a_peer_loses_is_not_called_not_run(settings_path):
+    # It is passed on while it arrives, so that it cannot be sent again.
+    async with running_region(settings_path) as region:
+        await cut_off(region, 0)
+        for server in region.world.servers.values():
+            server.work_s = 0.4
+        asking = asyncio.create_task(
+            region.world.ask(
+                "/book/a", method="POST", body=b"x" * 300_000, gateway=region.gateways[0]
+            )
+        )
+        await until(lambda: region.world.ran())
+        for peer in region.gateways[1:]:
+            for connection in list(peer.forwarding_listener.connections):
+                connection.transport.abort()
+        assert (await asking).status == 502
+        assert len(region.world.ran()) == 1
