End a request whose deadline passes while a peer is connected to

The cancellation found no connection to close, and the unexpected error that followed closed the client's connection without an answer. The new test failed before; the client gets 504.

--- a/knapweeddock/gateway/peering/peerforwarder.py
+++ b/knapweeddock/gateway/peering/peerforwarder.py
@@ -1,6 +1,5 @@
 """Forwards requests to a peer, for a gateway that reaches no server itself."""
 
-import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -134,16 +133,18 @@
     ) -> PeerReply:
         try:
             connection = await self.pool.acquire(destination, idempotent=outgoing.idempotent)
-            headers = self._headers(context)
-            result = await self.attempt_runner.exchange(outgoing, connection, headers)
         except PeerUnavailable as error:
-            return PeerReply(
-                result=AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
+            return _unreachable(error)
+        try:
+            result = await self.attempt_runner.exchange(
+                outgoing, connection, self._headers(context)
             )
+        except PeerUnavailable as error:
+            return _unreachable(error)
         except ResponseError as error:
             connection.abort()
             return PeerReply(result=lost_result(error))
-        except asyncio.CancelledError:
+        except BaseException:
             # The client disconnected or the deadline passed: closing the connection tells
             # the peer, which closes its own to the server.
             connection.abort()
@@ -189,3 +190,9 @@
         if result.body_complete:
             result.release()
         return PeerReply(result=result, told=told)
+
+
+def _unreachable(error: PeerUnavailable) -> PeerReply:
+    """Return what is known of a request that was not sent."""
+    result = AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
+    return PeerReply(result=result)
--- a/tests/platform/test_forwarded_requests.py
+++ b/tests/platform/test_forwarded_requests.py
@@ -408,3 +408,17 @@
                 connection.transport.abort()
         assert (await asking).status == 502
         assert len(region.world.ran()) == 1
+
+
+async def test_deadline_while_no_connection_to_a_peer_can_be_opened(settings_path, logs):
+    async with running_region(settings_path, NORTH[:1]) as region:
+        await cut_off(region, 0)
+
+        async def hang(_) -> None:
+            await asyncio.Event().wait()
+
+        region.gateways[0].peer_forwarder.pool.close()
+        region.gateways[0].peer_forwarder.pool.connect = hang
+        reply = await region.world.ask("/read/a", gateway=region.gateways[0], budget_ms=300)
+        assert reply.status == 504
+    assert "request handler failed" not in logs.getvalue()
