Name gateways that reach servers to the other regions

The summary of a region names eight of its gateways at most; while some of them are cut off, it names those that are not, to which gateways of a region that is cut off as a whole may forward requests. The new test failed before with a sample of cut ones.

--- a/knapweeddock/gateway/membership/regionfeed.py
+++ b/knapweeddock/gateway/membership/regionfeed.py
@@ -217,7 +217,8 @@
             for vm, member in self._all_members(now).items()
             if member.region == self.region and member.phase is GatewayPhase.SERVING
         }
-        sample = weighted_order("sample", dict.fromkeys(serving, 1.0))[:SAMPLE_SIZE]
+        reaching = [vm for vm, member in serving.items() if member.reaches_servers]
+        sample = weighted_order("sample", dict.fromkeys(reaching or serving, 1.0))[:SAMPLE_SIZE]
         return RegionSummary(
             region=self.region,
             demand=self.region_demands(now)[self.region],
--- a/tests/gateway/membership/test_regionfeed.py
+++ b/tests/gateway/membership/test_regionfeed.py
@@ -132,3 +132,14 @@
     assert rates[1] <= 1.2 * rates[0]
     # What a gateway may spend on control is 2 KB/s.
     assert max(rates) < 2000
+
+
+def test_other_regions_hear_of_gateways_that_reach_servers():
+    # They may have to serve the callers of a region that is cut off as a whole.
+    feed = make_feed("one")
+    for index in range(12):
+        member = make_member(f"g{index}", reaches_servers=index == 7)
+        heartbeat = msgspec.structs.replace(make_heartbeat(f"g{index}"), member=member)
+        feed.record_heartbeat(heartbeat, 0.0)
+    assert "g7" in {member.vm for member in feed.summary(0.0).members}
+    assert len(feed.summary(0.0).members) <= 2
