Probe the servers that failed in a cut instead of trusting them

After a wave of crashes a gateway may reach none of the servers that it checks while a peer still got a response from another one; it then counts as cut off. When that was over it used the servers that had failed as if they were warm, though they had started again: with the store silent, nothing else would have told it. Their probes are due within half a second now, and tell how long they stay cold.

--- a/knapweeddock/gateway/evidence/passivehealth.py
+++ b/knapweeddock/gateway/evidence/passivehealth.py
@@ -100,6 +100,11 @@
         self._backoff_s = INITIAL_BACKOFF_S
         self.next_probe_at = 0.0
 
+    def probe_soon(self, at: float) -> None:
+        """Let the next probe, if one is needed, start at a monotonic time, whatever failed."""
+        self._backoff_s = INITIAL_BACKOFF_S
+        self.next_probe_at = min(self.next_probe_at, at)
+
     def is_usable(self) -> bool:
         """Return whether requests may be sent to the server."""
         return not self.needs_probe
--- a/knapweeddock/gateway/evidence/reach.py
+++ b/knapweeddock/gateway/evidence/reach.py
@@ -45,6 +45,9 @@
 """Time in seconds for which evidence is withheld while no server is reached. Servers that have
 ended take longer to come back."""
 
+PROBE_SPREAD_S = 0.5
+"""Time in seconds over which the probes of servers are spread when a cut is over."""
+
 PEER_EVIDENCE_S = 1.0
 """Time in seconds for which a request that a peer got served is a sign that servers work."""
 
@@ -232,11 +235,11 @@
         self._change(ReachState.CUT_OFF)
 
     def _end_cut(self, now: float) -> None:
-        """Use the servers again that failed because of the cut; it says nothing of them."""
+        """Probe the servers that failed during the cut; some may have started again, cold."""
         for server in self._failed:
             state = self.fleet.servers.get(server)
             if state is not None:
-                state.health.record_probe_success()
+                state.health.probe_soon(now + self.rng.random() * PROBE_SPREAD_S)
         self._failed.clear()
         self._connected_at = now
         self._change(ReachState.REACHING)
--- a/tests/gateway/evidence/test_reach.py
+++ b/tests/gateway/evidence/test_reach.py
@@ -7,6 +7,7 @@
 from knapweeddock.gateway.evidence.reach import (
     CHECK_INTERVAL_S,
     CHECKED_SERVERS,
+    PROBE_SPREAD_S,
     SILENCE_S,
     WITHHELD_S,
     Reach,
@@ -101,15 +102,20 @@
     assert reach.state is ReachState.REACHING
 
 
-def test_servers_that_failed_in_a_cut_are_used_again_at_once():
-    # They work; a probe of each would keep the gateway from serving for seconds.
+def test_servers_that_failed_in_a_cut_are_probed_as_soon_as_it_is_over():
+    # They work most likely, but one may have started again meanwhile, and be cold. Their own
+    # pauses between probes have grown during the cut.
     reach = make_reach()
-    server_state(reach.fleet, "s5").health.record_unreachable(NOW - 20.0)
+    failed = server_state(reach.fleet, "s0")
     cut_off(reach, NOW)
+    for _ in range(5):
+        failed.health.record_unreachable(NOW)
     for _ in range(2):
         reach.record_check(reached=4, checked=CHECKED_SERVERS, now=NOW + 1.0)
-    usable = {name: state.health.is_usable() for name, state in reach.fleet.servers.items()}
-    assert usable == {**dict.fromkeys(usable, True), "s5": False}
+    assert not failed.health.is_usable()
+    assert failed.health.is_probe_due(NOW + 1.0 + PROBE_SPREAD_S)
+    others = [state for name, state in reach.fleet.servers.items() if name != "s0"]
+    assert all(state.health.is_usable() for state in others)
 
 
 def test_connection_ends_a_failure_of_all_servers_at_once():
