--- a/tests/gateway/membership/test_lookups.py
+++ b/tests/gateway/membership/test_lookups.py
@@ -51,3 +51,13 @@
         len(chosen_vms(gateways, [make_member(entry.vm) for entry in gateways]))
         == MAX_GATEWAYS_PER_RESPONSE
     )
+
+
+def test_gateways_that_reach_no_server_are_named_only_if_no_other_does():
+    gateways = [make_gateway("a"), make_gateway("b"), make_gateway("c", region="south")]
+    cut = make_member("a", reaches_servers=False)
+    members = [cut, make_member("b"), make_member("c", region="south")]
+    assert chosen_vms(gateways, members) == ["b"]
+    # Those of the client's own region come before all others, since peers serve their clients.
+    members = [cut, make_member("b", reaches_servers=False), make_member("c", region="south")]
+    assert chosen_vms(gateways, members) == ["a", "b"]
--- a/tests/gateway/membership/test_peers.py
+++ b/tests/gateway/membership/test_peers.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import msgspec
 
@@ -140,3 +141,17 @@
         board.record_unreachable(board.fleet.servers["s"], 5.0)
         peers.send_notices(5.0)
         assert peers.transport.sent == {}
+
+
+def test_heartbeat_of_an_earlier_version_reaches_servers():
+    # It does not tell; a gateway that is taken for cut off would be named to no client.
+    peers = make_peers("one")
+    member = ["two", "i", "serving", "north"]
+    data = msgspec.msgpack.encode(["heartbeat", member, {}, {}, {}])
+
+    async def receive() -> None:
+        peers.datagram_received(data, ("10.0.0.3", 82))
+
+    asyncio.run(receive())
+    now = time.monotonic()
+    assert peers.feed.liveness.live_members(now)["two"].reaches_servers
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -139,3 +139,14 @@
     content = {**encode_gateway(make_gateway("front-1")), "link_mbps": bandwidth}
     with pytest.raises(DocumentError):
         decode(Topic.GATEWAYS, "front-1", content, ZONES)
+
+
+def test_address_for_forwarded_requests_survives_encoding():
+    entry = make_gateway("front-1", forwarding_address=("10.0.0.2", 83))
+    content = encode_gateway(entry)
+    assert decode(Topic.GATEWAYS, "front-1", content, ZONES) == entry
+    # A gateway of an earlier version writes none, and gets no forwarded requests.
+    del content["forwarding"]
+    assert decode(Topic.GATEWAYS, "front-1", content, ZONES) == make_gateway("front-1")
+    with pytest.raises(DocumentError):
+        decode(Topic.GATEWAYS, "front-1", {**content, "forwarding": "somewhere"}, ZONES)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,3 +39,21 @@
 def test_missing_settings_are_refused(tmp_path):
     with pytest.raises(ConfigError):
         load(tmp_path / "none.toml")
+
+
+def test_second_port_between_gateways_is_for_forwarded_requests(tmp_path):
+    path = tmp_path / "boot.toml"
+    text = settings_text()
+    path.write_text(text)
+    assert load(path).forwarding is None
+    path.write_text(text.replace("InternalPorts = [7720, 7720]", "InternalPorts = [7720, 7735]"))
+    assert load(path).forwarding == ("127.0.0.1", 7721)
+
+
+@pytest.mark.parametrize("ports", ["[]", '["7720", "7735"]', "[7720, 7735.5]", "7720"])
+def test_ports_that_are_no_numbers_are_refused(tmp_path, ports):
+    path = tmp_path / "boot.toml"
+    text = settings_text()
+    path.write_text(text.replace("[7720, 7720]", ports))
+    with pytest.raises(ConfigError):
+        load(path)
