--- a/knapweeddock/gateway/placement/fleet.py
+++ b/knapweeddock/gateway/placement/fleet.py
@@ -121,6 +121,8 @@
 
     def accepts_requests(self, now: float) -> bool:
         """Whether requests may be sent, apart from limits on their rate."""
+        if self.expires_at is not None and now >= self.expires_at:
+            return False
         return self.health.is_usable() and not self.pause.is_active(now) and now >= self.resumes_at
 
 
--- a/tests/gateway/placement/test_fleet.py
+++ b/tests/gateway/placement/test_fleet.py
@@ -131,3 +131,13 @@
     for name in ("a", "b"):
         assert server_state(fleet, name).accepts_requests(10.0)
         assert server_state(fleet, name).is_cold(12.9)
+
+
+def test_server_gets_nothing_after_its_grace_period_whenever_it_is_removed():
+    # Expired servers are removed at intervals; a request in between would reach one that has
+    # left long ago.
+    fleet = make_fleet(make_server("a"))
+    fleet.deregister("a", 100.0, grace_s=2.0)
+    state = server_state(fleet, "a")
+    assert state.accepts_requests(101.9)
+    assert not state.accepts_requests(102.0)
