--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -59,7 +59,7 @@
 Region = "{region}"
 InternalPorts = [{ports[4]}, {ports[5]}]
 Seeds = []
-Bootstrap = {bootstrap}
+Bootstrap = true
 CountsAsLoss = false
 Discovery = "platform"
 Entry = "directory"
@@ -172,6 +172,10 @@
 
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
+        if self.process is not None:
+            # The whole system starts for the first time only once.
+            text = self.settings.read_text()
+            self.settings.write_text(text.replace("Bootstrap = true", "Bootstrap = false"))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
@@ -258,7 +262,6 @@
                 zone=zone,
                 region=ZONES[zone],
                 ports=ports,
-                bootstrap="true",
                 zones="\n".join(f'{each} = "{region}"' for each, region in ZONES.items()),
                 store=f"{self.store.address[0]}:{self.store.address[1]}",
             )
