--- a/review/rig/record.py
+++ b/review/rig/record.py
@@ -28,10 +28,6 @@
         self.write(text)
         print(f"{time.monotonic() - self.started_at:8.3f} {text}", flush=True)
 
-    def since_start(self, at: float) -> float:
-        """Return a monotonic time in seconds since the start."""
-        return at - self.started_at
-
 
 @contextlib.contextmanager
 def writing_record(path: Path) -> Iterator[Record]:
