Pass changes on to subscribers of a relay beside an entry that cannot be encoded

Cause: the store cache moves its position on and then calls its listeners. An entry of another writer with Slots of 10^20 decodes as a server, but MessagePack cannot hold the number: the relay's listener raised OverflowError, the watching gateway started again behind the batch, and its subscribers took the next update, which may follow any earlier position of the era. Ruled out: a lost connection to the relay, and an update that subscribers refuse.

Change: whole numbers over 64 bits and durations that no time can be added to are unreadable where documents are decoded; an object that cannot be encoded is left out of an update like an unreadable one; a listener that fails does not keep the others from an update. The first removes this cause, the other two hold for any value that a later part refuses.

--- a/knapweeddock/gateway/membership/relaymessages.py
+++ b/knapweeddock/gateway/membership/relaymessages.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import msgspec
+import structlog
 
 from knapweeddock.errors import MessageError, PatchMismatch
 from knapweeddock.gateway.membership.regionfeed import Pulse, SubscriberReport
@@ -21,6 +22,8 @@
 from knapweeddock.gateway.store.storeposition import StorePosition
 from knapweeddock.ids import FailureDomainId
 
+log = structlog.get_logger(__name__)
+
 READ_BYTES = 64 * 1024
 """Largest number of bytes that are read at once."""
 
@@ -34,6 +37,9 @@
 COMPRESSION_LEVEL = 1
 """Level of zlib: the fastest, since small VMs compress and decompress."""
 
+ENCODING_ERRORS = (OverflowError, UnicodeError, TypeError, RecursionError, msgspec.MsgspecError)
+"""What the encoder raises for a value that MessagePack cannot hold."""
+
 LENGTH_PREFIX = struct.Struct("!I")
 
 ITEM_TYPES = {
@@ -92,13 +98,41 @@
 
 
 def encode(message: RelayMessage) -> bytes:
-    """Return a relay's ``message`` encoded, compressed if that pays, and with its length."""
-    data = _encoder.encode(message)
+    """Return a relay's ``message`` encoded, compressed if that pays, and with its length.
+
+    Objects that the encoding cannot hold are left out of an update as if they were
+    unreadable: subscribers must not miss the changes that came with them.
+    """
+    try:
+        data = _encoder.encode(message)
+    except ENCODING_ERRORS:
+        if not isinstance(message, Update):
+            raise
+        data = _encoder.encode(_without_unencodable(message))
     if len(data) >= MIN_COMPRESSED_BYTES:
         data = _encoder.encode(Compressed(data=zlib.compress(data, COMPRESSION_LEVEL)))
     return LENGTH_PREFIX.pack(len(data)) + data
 
 
+def _without_unencodable(update: Update) -> Update:
+    return msgspec.structs.replace(
+        update,
+        items={
+            name: item if _can_encode(update.topic, name, item) else None
+            for name, item in update.items.items()
+        },
+    )
+
+
+def _can_encode(topic: Topic, name: str, item: StoreObject | None) -> bool:
+    try:
+        _encoder.encode(item)
+    except ENCODING_ERRORS as error:
+        log.error("object not passed on", topic=topic.value, name=name, reason=str(error))
+        return False
+    return True
+
+
 def encode_report(report: SubscriberReport) -> bytes:
     """Return a subscriber's ``report`` encoded and prefixed with its length."""
     data = _encoder.encode(report)
--- a/knapweeddock/gateway/store/storecache.py
+++ b/knapweeddock/gateway/store/storecache.py
@@ -158,8 +158,16 @@
                 self.items[topic][name] = item
 
     def _notify(self, update: Update) -> None:
+        """Call the listeners; one that fails does not keep the others from the update.
+
+        The position has moved on already, so nobody would read these changes again.
+        """
         for listener in self.listeners:
-            listener(update)
+            try:
+                listener(update)
+            except Exception:
+                name = getattr(listener, "__qualname__", repr(listener))
+                log.exception("listener of the store's changes failed", listener=name)
 
     def known_positions(self) -> dict[Topic, StorePosition]:
         """Return the positions of the topics that need not be listed."""
--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -27,6 +27,7 @@
     VmId,
 )
 from knapweeddock.platform.values import (
+    MAX_INTEGER,
     DocumentError,
     address,
     address_text,
@@ -190,9 +191,12 @@
 def _version(spec: Mapping[str, Any]) -> Version:
     text = field(spec, "Version", str)
     try:
-        return Version(int(text, 16))
+        version = Version(int(text, 16))
     except ValueError as error:
         raise DocumentError(f"Version {text!r} is no hexadecimal number") from error
+    if not 0 <= version <= MAX_INTEGER:
+        raise DocumentError(f"Version {text!r} is negative or too large")
+    return version
 
 
 def _policy(row: Mapping[str, Any]) -> ServicePolicy:
--- a/knapweeddock/platform/values.py
+++ b/knapweeddock/platform/values.py
@@ -1,6 +1,5 @@
 """Values as the platform writes them: durations, addresses, versions, tables."""
 
-import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -15,6 +14,12 @@
 
 MAX_PORT = 65535
 
+MAX_DURATION_S = 1e9
+"""Longest duration in seconds, which can still be added to a time."""
+
+MAX_INTEGER = 2**63 - 1
+"""Largest absolute value of a whole number: the messages between gateways cannot hold more."""
+
 
 class DocumentError(ConfigError):
     """A document of the platform cannot be decoded."""
@@ -26,12 +31,14 @@
     """Return a required field.
 
     Raises:
-        DocumentError: The field is missing or of another type.
+        DocumentError: The field is missing, of another type or a number that is too large.
     """
     value = document.get(name)
     fits = isinstance(value, kind) and not (isinstance(value, bool) and kind is not bool)
     if not fits:
         raise DocumentError(f"{name} is {value!r}, not {kind.__name__}")
+    if kind is int and abs(value) > MAX_INTEGER:
+        raise DocumentError(f"{name} is too large a number")
     return value
 
 
@@ -43,13 +50,14 @@
 
 
 def number(document: Mapping[str, Any], name: str, default: float) -> float:
-    """Return a finite number of at least 0, or ``default`` when it is missing."""
+    """Return a number from 0 to ``MAX_INTEGER``, or ``default`` when it is missing."""
     value = document.get(name)
     if value is None:
         return default
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value < 0:
-        raise DocumentError(f"{name} is {value!r}, not a number")
+    # A comparison, unlike a conversion, takes whole numbers of any size; NaN fails it.
+    if not is_number or not 0 <= value <= MAX_INTEGER:
+        raise DocumentError(f"{name} is no number from 0 to {MAX_INTEGER}")
     return float(value)
 
 
@@ -57,13 +65,15 @@
     """Return a duration such as ``1500ms`` or ``2.5s`` in seconds.
 
     Raises:
-        DocumentError: The text is no duration.
+        DocumentError: The text is no duration, or one that is too long.
     """
     if isinstance(text, str):
         for unit, factor in UNITS_S.items():
             digits = text.removesuffix(unit)
             if digits != text and digits.replace(".", "", 1).isdecimal():
-                return float(digits) * factor
+                duration_s = float(digits) * factor
+                if duration_s <= MAX_DURATION_S:
+                    return duration_s
     raise DocumentError(f"{text!r} is no duration")
 
 
--- a/tests/gateway/membership/test_relaymessages.py
+++ b/tests/gateway/membership/test_relaymessages.py
@@ -24,6 +24,14 @@
         assert decode(encode(message)[LENGTH_PREFIX.size :]) == message
 
 
+def test_object_that_cannot_be_encoded_does_not_hide_the_changes_beside_it():
+    # Subscribers take the next update after this one, and would use server "a" for good.
+    items = {"a": None, "b": make_server("b", slots=10**20), "c": make_server("c")}
+    update = Update(topic=Topic.SERVERS, whole=False, items=items, position=at(3))
+    received = decode(encode(update)[LENGTH_PREFIX.size :])
+    assert received == msgspec.structs.replace(update, items={**items, "b": None})
+
+
 @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x81\xa4type\xa5other", encode(CONFIG)[4:]])
 def test_anything_else_is_refused(data):
     with pytest.raises(MessageError):
--- a/tests/gateway/store/test_storecache.py
+++ b/tests/gateway/store/test_storecache.py
@@ -21,6 +21,20 @@
     assert [(update.items, update.grace_s) for update in received] == [({"a": None}, 0.5)]
 
 
+def test_listener_that_fails_does_not_keep_the_others_from_a_change():
+    # The relay is a listener: its subscribers would never hear that server "a" is gone.
+    store_cache = populated_cache()
+    received: list[Update] = []
+
+    def fail(update: Update) -> None:
+        raise OverflowError("integer value out of range")
+
+    store_cache.listeners += [fail, received.append]
+    changes = ChangeBatch(changes=[Change(name="a", item=None)], position=at(12))
+    store_cache.apply_changes(Topic.SERVERS, changes, grace_s=0.0)
+    assert [update.items for update in received] == [{"a": None}]
+
+
 def test_wait_without_changes_moves_the_revision_only():
     store_cache = populated_cache()
     received: list[Update] = []
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -67,6 +67,8 @@
         {"Slots": "3"},
         {"Service": None},
         {"born": "yesterday"},
+        {"Slots": 10**20},
+        {"born": 2**64},
     ],
 )
 def test_entries_of_other_writers_name_no_server(changes):
--- /dev/null
+++ b/tests/platform/test_foreign_entries.py
@@ -0,0 +1,43 @@
+"""Entries of other writers in the store, beside sound changes, behind relays and at a start."""
+
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from knapweeddock.gateway.service import Gateway
+from standins import documents
+from tests.platform.world import World, running_world
+from tests.waiting import until
+
+OTHER_GATEWAYS = {"front-north-a-2": "north-a", "front-north-b-1": "north-b"}
+"""Failure domains of further gateways: with them a region has one that watches the store."""
+
+
+@contextlib.asynccontextmanager
+async def running_region(path: Path) -> AsyncIterator[tuple[World, list[Gateway]]]:
+    """Run three gateways of a region, one of which watches the store for the others."""
+    async with running_world(path, servers=3) as world, contextlib.AsyncExitStack() as stack:
+        gateways = [world.gateway]
+        for node, zone in OTHER_GATEWAYS.items():
+            gateways.append(await stack.enter_async_context(world.another_gateway(node, zone)))
+        await until(lambda: sum(each.update_source.is_subscribed for each in gateways) == 2)
+        yield world, gateways
+
+
+@pytest.mark.parametrize("field", ["Slots", "born"])
+async def test_number_too_large_for_messages_does_not_hide_a_server_that_leaves(tmp_path, field):
+    # The gateway that watches the store could not pass the changes on, and the others sent
+    # requests to the server that had left for as long as it answered.
+    async with running_region(tmp_path / "boot.toml") as (world, gateways):
+        entry = documents.server(**{field: 10**20})
+        # Both changes come in one answer of the watch.
+        world.store.deaf = True
+        world.store.put("servers", "i-foreign", entry)
+        world.store.remove("servers", "i-0")
+        world.store.hear_again()
+        for gateway in gateways:
+            await until(lambda gateway=gateway: "i-0" not in gateway.routing_state.fleet.servers)
+        for gateway in gateways:
+            assert "i-foreign" not in gateway.routing_state.fleet.servers
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -22,6 +22,20 @@
         address(text)
 
 
+@pytest.mark.parametrize("text", ["9" * 400 + "s", "1" + "0" * 30 + "ms"])
+def test_durations_that_no_time_can_be_added_to_are_refused(text):
+    with pytest.raises(DocumentError):
+        seconds(text)
+
+
+@pytest.mark.parametrize("value", [2**63, -(2**63), 10**20, pytest.param(10**5000, id="long")])
+def test_numbers_that_do_not_fit_into_messages_between_gateways_are_refused(value):
+    with pytest.raises(DocumentError):
+        field({"Slots": value}, "Slots", int)
+    with pytest.raises(DocumentError):
+        number({"Weight": value}, "Weight", 1.0)
+
+
 def test_address():
     assert address("10.0.0.1:80") == ("10.0.0.1", 80)
 
