Decode the store's answers object by object when one of them cannot be decoded

Callers saw every request refused with 503 after a restart of all gateways, for as long as one entry of another writer was in the store.

Cause: lists and watches were decoded as a whole. Single surrogates, bytes that are no UTF-8, numbers out of range, deep nesting or an object without a name made each answer of that kind fail, so a gateway that starts never got its servers, and one that runs heard of no change. Pings succeeded, so the store counted as reachable and nothing was copied from peers. Ruled out: the store's silence (the case's store answers) and the decoder of single entries, which leaves unreadable ones out but was never reached.

Change: an answer that cannot be decoded at once is split by strings and brackets without recursion, and its objects are decoded one by one. Error messages show containers by their type, since their text may be too deep.

--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -29,6 +29,7 @@
 from knapweeddock.platform.values import (
     MAX_INTEGER,
     DocumentError,
+    Undecodable,
     address,
     address_text,
     duration,
@@ -36,6 +37,7 @@
     number,
     optional,
     rows,
+    shown,
 )
 
 log = structlog.get_logger(__name__)
@@ -65,7 +67,7 @@
     Args:
         topic: Topic of its kind.
         name: Name of the object.
-        spec: What its writer put into it.
+        spec: What its writer put into it, or ``Undecodable``.
         regions: Region of each failure domain.
 
     Raises:
@@ -73,6 +75,8 @@
     """
     if topic is Topic.EVACUATIONS:
         return FailureDomainId(name)
+    if isinstance(spec, Undecodable):
+        raise DocumentError(spec.reason)
     if not isinstance(spec, Mapping):
         raise DocumentError(f"{name}: no object")
     match topic:
@@ -156,10 +160,10 @@
 ) -> ServerEntry:
     domain = FailureDomainId(field(spec, "Zone", str))
     if domain not in regions:
-        raise DocumentError(f"Zone {domain!r} is unknown")
+        raise DocumentError(f"Zone {shown(domain)} is unknown")
     phase = PHASES.get(field(spec, "State", str))
     if phase is None:
-        raise DocumentError(f"State {spec['State']!r} is unknown")
+        raise DocumentError(f"State {shown(spec['State'])} is unknown")
     slots = field(spec, "Slots", int)
     if slots < 1:
         raise DocumentError(f"Slots is {slots}")
@@ -193,9 +197,9 @@
     try:
         version = Version(int(text, 16))
     except ValueError as error:
-        raise DocumentError(f"Version {text!r} is no hexadecimal number") from error
+        raise DocumentError(f"Version {shown(text)} is no hexadecimal number") from error
     if not 0 <= version <= MAX_INTEGER:
-        raise DocumentError(f"Version {text!r} is negative or too large")
+        raise DocumentError(f"Version {shown(text)} is negative or too large")
     return version
 
 
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -1,8 +1,7 @@
 """Client of the platform's store."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPMethod, HTTPStatus
-from typing import Any
 from urllib.parse import quote
 
 import msgspec
@@ -26,8 +25,9 @@
 from knapweeddock.gateway.store.storeposition import UNKNOWN_ERA, StorePosition
 from knapweeddock.http1.messages import Headers, get_header
 from knapweeddock.ids import Era, FailureDomainId, RegionId, Revision, VmId
+from knapweeddock.platform.answers import Answer, NamedContent, decode_events, decode_page
 from knapweeddock.platform.documents import KINDS, decode, encode_gateway
-from knapweeddock.platform.values import DocumentError, field, optional
+from knapweeddock.platform.values import DocumentError
 from knapweeddock.platformhttp import Endpoint, PlatformHttpClient, PlatformResponse
 
 log = structlog.get_logger(__name__)
@@ -81,39 +81,32 @@
         after = ""
         while True:
             query = f"?after={quote(after, safe='')}" if after else ""
-            era, body = await self._read(_path(topic) + query)
+            era, page = await self._read(_path(topic) + query, decode_page)
             if position is not None and era != position.era:
                 raise EraChanged(f"list of {topic.value}: the store returned between two pages")
-            try:
-                page = field(body, "items", list)
-                if position is None:
-                    # Changes during the reading of later pages are seen again.
-                    position = _position(era, body)
-                more = optional(body, "HasMore", bool, False)
-                names = [_name(_mapping(each)) for each in page]
-            except DocumentError as error:
-                raise StoreUnavailable(f"list of {topic.value}: {error}") from error
-            for name, each in zip(names, page, strict=True):
-                item = self._decoded(topic, name, each)
+            if position is None:
+                # Changes during the reading of later pages are seen again.
+                position = StorePosition(era=era, revision=Revision(page.revision))
+            for each in page.objects:
+                item = self._decoded(topic, each)
                 if item is not None:
-                    items[name] = item
-            if not more or not names:
+                    items[each.name] = item
+            if not page.has_more or not page.objects:
                 return Snapshot(items=items, position=position)
-            after = names[-1]
+            after = page.objects[-1].name
 
     async def watch(self, topic: Topic, position: StorePosition, wait_s: float) -> ChangeBatch:
         """Wait for changes of ``topic`` after ``position``."""
         query = f"?Watch={position.revision}&WaitMs={round(wait_s * 1000)}"
-        era, body = await self._read(_path(topic) + query, long_poll_s=wait_s)
+        era, batch = await self._read(_path(topic) + query, decode_events, long_poll_s=wait_s)
         if era != position.era:
             # The store has given out the revision again, so changes below it are missing.
             raise EraChanged(f"watch of {topic.value}: era {era}, not {position.era}")
-        try:
-            events = optional(body, "events", list, [])
-            following = _position(era, body)
-            changes = [self._change(topic, _mapping(event)) for event in events]
-        except DocumentError as error:
-            raise StoreUnavailable(f"changes of {topic.value}: {error}") from error
+        following = StorePosition(era=era, revision=Revision(batch.revision))
+        changes = [
+            Change(name=each.name, item=None if each.deleted else self._decoded(topic, each))
+            for each in batch.objects
+        ]
         return ChangeBatch(changes=changes, position=following)
 
     async def ping(self, timeout_s: float) -> None:
@@ -173,15 +166,15 @@
         return self.era
 
     async def _read(
-        self, target: str, *, long_poll_s: float = 0.0
-    ) -> tuple[Era, Mapping[str, Any]]:
+        self, target: str, decode_answer: Callable[[bytes], Answer], *, long_poll_s: float = 0.0
+    ) -> tuple[Era, Answer]:
         response = await self.http.read(target, long_poll_s=long_poll_s)
         path = target.partition("?")[0]
         era = self._checked_era(path, response)
         _check(path, response)
         try:
-            return era, _mapping(msgspec.json.decode(response.body))
-        except (msgspec.DecodeError, DocumentError) as error:
+            return era, decode_answer(response.body)
+        except DocumentError as error:
             raise StoreUnavailable(f"GET {path}: malformed answer: {error}") from error
 
     async def _write(self, method: HTTPMethod, path: str, body: bytes) -> PlatformResponse:
@@ -190,18 +183,11 @@
         _check(path, response)
         return response
 
-    def _change(self, topic: Topic, event: Mapping[str, Any]) -> Change:
-        document = _mapping(event.get("Object"))
-        name = _name(document)
-        if optional(event, "Deleted", bool, False):
-            return Change(name=name, item=None)
-        return Change(name=name, item=self._decoded(topic, name, document))
-
-    def _decoded(self, topic: Topic, name: str, document: Mapping[str, Any]) -> StoreObject | None:
+    def _decoded(self, topic: Topic, content: NamedContent) -> StoreObject | None:
         try:
-            return decode(topic, name, document.get("Spec"), self.regions)
+            return decode(topic, content.name, content.spec, self.regions)
         except DocumentError as error:
-            log.warning("entry unreadable", topic=topic.value, name=name, reason=str(error))
+            log.warning("entry unreadable", topic=topic.value, name=content.name, reason=str(error))
             return None
 
 
@@ -214,10 +200,6 @@
     return Era(int(value)) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
 
 
-def _position(era: Era, body: Mapping[str, Any]) -> StorePosition:
-    return StorePosition(era=era, revision=Revision(field(body, "CurrentRev", int)))
-
-
 def _check(path: str, response: PlatformResponse) -> None:
     match response.status:
         case HTTPStatus.GONE:
@@ -231,13 +213,3 @@
 
 def _path(topic: Topic) -> str:
     return f"/api/objects/{KINDS[topic]}"
-
-
-def _mapping(value: object) -> Mapping[str, Any]:
-    if not isinstance(value, Mapping):
-        raise DocumentError(f"{type(value).__name__} in place of an object")
-    return value
-
-
-def _name(document: Mapping[str, Any]) -> str:
-    return field(_mapping(document.get("Metadata")), "Name", str)
--- a/knapweeddock/platform/values.py
+++ b/knapweeddock/platform/values.py
@@ -1,6 +1,7 @@
 """Values as the platform writes them: durations, addresses, versions, tables."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from knapweeddock.codes import ResultCode
@@ -14,6 +15,9 @@
 
 MAX_PORT = 65535
 
+MAX_SHOWN_CHARACTERS = 80
+"""Characters of a value that error messages show."""
+
 MAX_DURATION_S = 1e9
 """Longest duration in seconds, which can still be added to a time."""
 
@@ -27,6 +31,27 @@
     code = ResultCode.WRONG_TYPE
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Undecodable:
+    """Stands in place of content that cannot be decoded.
+
+    Attributes:
+        reason: Why not.
+    """
+
+    reason: str
+
+
+def shown(value: object) -> str:
+    """Return a value as error messages show it: shortened, and only the type of containers.
+
+    The text of a container may be long, or nested too deeply to be written.
+    """
+    if value is None or isinstance(value, str | bool | int | float):
+        return repr(value)[:MAX_SHOWN_CHARACTERS]
+    return type(value).__name__
+
+
 def field(document: Mapping[str, Any], name: str, kind: type[T]) -> T:
     """Return a required field.
 
@@ -36,7 +61,7 @@
     value = document.get(name)
     fits = isinstance(value, kind) and not (isinstance(value, bool) and kind is not bool)
     if not fits:
-        raise DocumentError(f"{name} is {value!r}, not {kind.__name__}")
+        raise DocumentError(f"{name} is {shown(value)}, not {kind.__name__}")
     if kind is int and abs(value) > MAX_INTEGER:
         raise DocumentError(f"{name} is too large a number")
     return value
@@ -74,7 +99,7 @@
                 duration_s = float(digits) * factor
                 if duration_s <= MAX_DURATION_S:
                     return duration_s
-    raise DocumentError(f"{text!r} is no duration")
+    raise DocumentError(f"{shown(text)} is no duration")
 
 
 def duration(document: Mapping[str, Any], name: str, default_s: float) -> float:
@@ -93,7 +118,7 @@
         host, _, port = text.rpartition(":")
         if host and port.isdecimal() and 0 < int(port) <= MAX_PORT:
             return host, int(port)
-    raise DocumentError(f"{text!r} is no address")
+    raise DocumentError(f"{shown(text)} is no address")
 
 
 def address_text(value: Address) -> str:
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -70,6 +71,7 @@
         era_header: Value of the ``Store-Era`` header in place of ``era``; "" for no header.
         fault: What is wrong.
         deaf: Whether watches hear of nothing; they hear of all of it afterwards.
+        encoded_texts: What is sent for a text in place of its JSON, which may be no valid text.
         calls: Method and path of each call.
     """
 
@@ -77,6 +79,7 @@
     era_header: str | None = None
     fault: StoreFault = StoreFault.NONE
     deaf: bool = False
+    encoded_texts: dict[str, bytes] = field(default_factory=dict)
     calls: list[tuple[str, str]] = field(default_factory=list)
     kinds: dict[str, dict[str, StoredDocument]] = field(default_factory=dict)
     history: list[tuple[int, str, dict[str, Any]]] = field(default_factory=list)
@@ -188,7 +191,7 @@
         names = [name for name in sorted(self.kinds.get(kind, {})) if name > after]
         page = [self.kinds[kind][name].encode() for name in names[:PAGE]]
         answer = {"items": page, "HasMore": len(names) > PAGE, "CurrentRev": self.revision}
-        return web.json_response(answer)
+        return self._json_response(answer)
 
     async def _watch(self, kind: str, request: web.Request) -> web.Response:
         since = int(request.query["Watch"])
@@ -199,7 +202,13 @@
         if not self._is_known(since):
             return web.Response(status=410)
         answer = {"events": self._since(kind, since), "CurrentRev": self.revision}
-        return web.json_response(answer)
+        return self._json_response(answer)
+
+    def _json_response(self, answer: dict[str, Any]) -> web.Response:
+        body = json.dumps(answer).encode()
+        for text, encoded in self.encoded_texts.items():
+            body = body.replace(json.dumps(text).encode(), encoded)
+        return web.Response(body=body, content_type="application/json")
 
     def _is_known(self, revision: int) -> bool:
         return self.oldest <= revision <= self.revision
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -26,6 +26,45 @@
         yield world, gateways
 
 
+UNDECODABLE = {
+    "single surrogate": rb'"\udcff"',
+    "bytes that are no UTF-8": b'"\xff\xfe"',
+    "number out of range": b"1e400",
+    "nesting of ten thousand": b"[" * 10_000 + b"]" * 10_000,
+}
+"""Values that JSON's grammar allows and decoders refuse."""
+
+
+@pytest.mark.parametrize("kind", ["servers", "gateways", "config"])
+@pytest.mark.parametrize("value", UNDECODABLE.values(), ids=UNDECODABLE)
+async def test_entry_that_cannot_be_decoded_keeps_no_gateway_from_starting(tmp_path, value, kind):
+    # Every list and watch of its kind failed: no gateway was ready again after a restart.
+    async with running_world(tmp_path / "boot.toml") as world:
+        world.store.encoded_texts["@value"] = value
+        world.store.put(kind, "a-foreign", {"Zone": "@value"})
+        await world.restart()
+        assert set(world.gateway.routing_state.fleet.servers) == {"i-0", "i-1"}
+        assert (await world.ask("/read/1")).status == 200
+
+
+@pytest.mark.parametrize("value", UNDECODABLE.values(), ids=UNDECODABLE)
+async def test_entry_that_cannot_be_decoded_hides_no_change_and_names_no_server(tmp_path, value):
+    async with running_world(tmp_path / "boot.toml") as world:
+        servers = world.gateway.routing_state.fleet.servers
+        world.store.encoded_texts["@value"] = value
+        world.store.deaf = True
+        world.store.put("servers", "i-1", {**documents.server(), "Zone": "@value"})
+        world.store.put("servers", "i-2", documents.server())
+        world.store.hear_again()
+        await until(lambda: set(servers) == {"i-0", "i-2"})
+        # The next watch begins behind them: the gateway does not read these changes for ever.
+        calls = len(world.store.calls)
+        world.store.remove("servers", "i-2")
+        await until(lambda: set(servers) == {"i-0"})
+        lists = [path for _, path in world.store.calls[calls:] if path.endswith("/servers")]
+        assert lists == []
+
+
 @pytest.mark.parametrize("field", ["Slots", "born"])
 async def test_number_too_large_for_messages_does_not_hide_a_server_that_leaves(tmp_path, field):
     # The gateway that watches the store could not pass the changes on, and the others sent
