Answer a request whose handler fails, and keep its connection

The handler's error ended in abort() of its response, which closes the connection. It now sends 500 if no response has begun. 500 promises nothing, and the responses before and behind it are sent.

test_fault_of_the_handler_ends_the_connection_without_an_answer asserted the fault: a closed connection says no less than 500 about the request itself, and costs the others theirs. Its replacement checks three pipelined requests and failed before.

--- a/knapweeddock/http1/server.py
+++ b/knapweeddock/http1/server.py
@@ -248,6 +248,9 @@
                 raise
         except Exception:
             log.exception("request handler failed")
+            if request.response.state is ResponseState.WAITING:
+                # Aborting the connection would take the answers of other requests with it.
+                request.response.send(HTTPStatus.INTERNAL_SERVER_ERROR, [])
         finally:
             if not request.response.is_done:
                 request.response.abort()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -172,12 +172,14 @@
             assert not (await read_all(reader)).endswith(b"0\r\n\r\n")
 
 
-async def test_fault_of_the_handler_ends_the_connection_without_an_answer():
+async def test_fault_of_a_handler_costs_no_other_request_its_answer():
+    # The connection was closed, and requests behind on it that ran had no answer.
     rig = ServerRig()
     async with open_connection(rig) as (reader, writer):
-        writer.write(make_get("/broken"))
-        with contextlib.suppress(ConnectionError):
-            assert await read_all(reader) == b""
+        writer.write(make_get("/first") + make_get("/broken") + make_get("/last"))
+        assert (await read_response(reader)).endswith(b"answer to /first")
+        assert (await read_response(reader)).startswith(b"HTTP/1.1 500 ")
+        assert (await read_response(reader)).endswith(b"answer to /last")
 
 
 async def test_rest_of_a_body_is_dropped_after_an_early_answer():
