Take only IP addresses from the store, and no error of connecting for another

Cause: any text was a host. Connecting to it raised UnicodeError, which no place on the way of a request expects, so the handler ended, nothing was learned of the server, and it was chosen again. The log has the codec's message. Ruled out: a server that closes connections (nothing was ever sent).

On a related path the same cause closed the socket for heartbeats for good: asyncio takes the error of a datagram to such a peer address for fatal.

Change: addresses of entries are IP addresses; connecting to servers, peers, relays and gateways that may be gone reports errors of host and port as an unavailable peer. The store's address in the settings may still be a name.

--- a/knapweeddock/gateway/membership/relay.py
+++ b/knapweeddock/gateway/membership/relay.py
@@ -35,6 +35,7 @@
 from knapweeddock.gateway.store.storecache import StoreCache, Update
 from knapweeddock.gateway.store.storeclient import StoreObject, Topic
 from knapweeddock.gateway.store.storeposition import StorePosition
+from knapweeddock.http1.client import CONNECT_ERRORS
 from knapweeddock.ids import Era
 
 log = structlog.get_logger(__name__)
@@ -328,7 +329,7 @@
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             return await asyncio.open_connection(address[0], address[1])
-    except (OSError, TimeoutError) as error:
+    except CONNECT_ERRORS as error:
         raise PeerUnavailable(f"{peer}: {str(error) or 'connection timed out'}") from error
 
 
--- a/knapweeddock/gateway/store/registrations.py
+++ b/knapweeddock/gateway/store/registrations.py
@@ -22,6 +22,7 @@
 from knapweeddock.gateway.records import Address, GatewayEntry, KeptSuspect
 from knapweeddock.gateway.store.storecache import Update
 from knapweeddock.gateway.store.storeclient import StoreClient, Topic
+from knapweeddock.http1.client import CONNECT_ERRORS
 from knapweeddock.ids import Era, VmId
 
 log = structlog.get_logger(__name__)
@@ -211,7 +212,7 @@
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(*address)
-    except (OSError, TimeoutError) as error:
+    except CONNECT_ERRORS as error:
         log.info("gateway is unreachable", address=address[0], reason=str(error) or "timeout")
         return False
     writer.close()
--- a/knapweeddock/http1/client.py
+++ b/knapweeddock/http1/client.py
@@ -33,6 +33,10 @@
 three seconds without traffic. Nothing else would reveal that the peer is gone."""
 
 
+CONNECT_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
+"""What opening a connection raises, also for a host or a port that no connection can have."""
+
+
 class BodyFraming(Enum):
     """How the end of a response body is determined."""
 
@@ -384,7 +388,7 @@
                 address[1],
                 ssl=tls or None,
             )
-    except (OSError, TimeoutError) as error:
+    except CONNECT_ERRORS as error:
         reason = str(error) or f"not connected within {timeout_s} s"
         raise PeerUnavailable(f"{address[0]}:{address[1]}: {reason}") from error
     return connection
--- a/knapweeddock/platform/settings.py
+++ b/knapweeddock/platform/settings.py
@@ -16,6 +16,7 @@
     DocumentError,
     address,
     duration,
+    endpoint,
     field,
     number,
     optional,
@@ -75,7 +76,7 @@
         peer=(field(document, "Ip", str), first_port),
         forwarding=_forwarding(field(document, "Ip", str), first_port, last_port),
         store=StoreSettings(
-            address=address(platform.get("Address")),
+            address=endpoint(platform.get("Address")),
             history_retention_s=duration(platform, "History", 20.0),
         ),
         limits=_limits(document),
--- a/knapweeddock/platform/values.py
+++ b/knapweeddock/platform/values.py
@@ -1,5 +1,7 @@
 """Values as the platform writes them: durations, addresses, versions, tables."""
 
+import ipaddress
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -15,6 +17,8 @@
 
 MAX_PORT = 65535
 
+ENDPOINT = re.compile(r"(?P<host>\S+):(?P<port>[0-9]{1,5})", re.ASCII)
+
 MAX_SHOWN_CHARACTERS = 80
 """Characters of a value that error messages show."""
 
@@ -108,22 +112,40 @@
     return default_s if value is None else seconds(value)
 
 
+def endpoint(text: object) -> Address:
+    """Return host and port of ``10.0.0.1:80`` or ``store:80``.
+
+    Raises:
+        DocumentError: The text is no host with a port.
+    """
+    found = ENDPOINT.fullmatch(text) if isinstance(text, str) else None
+    if found is None or not 0 < int(found["port"]) <= MAX_PORT:
+        raise DocumentError(f"{shown(text)} is no address")
+    return found["host"], int(found["port"])
+
+
 def address(text: object) -> Address:
-    """Return host and port of ``10.0.0.1:80``.
+    """Return IP address and port of ``10.0.0.1:80`` or ``[::1]:80``.
+
+    A host name would be looked up when a connection is made, which may block or fail in ways
+    that no connection does.
 
     Raises:
-        DocumentError: The text is no address.
+        DocumentError: The text is no IP address with a port.
     """
-    if isinstance(text, str):
-        host, _, port = text.rpartition(":")
-        if host and port.isdecimal() and 0 < int(port) <= MAX_PORT:
-            return host, int(port)
-    raise DocumentError(f"{shown(text)} is no address")
+    host, port = endpoint(text)
+    bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    try:
+        ipaddress.ip_address(bare)
+    except ValueError as error:
+        raise DocumentError(f"{shown(text)} has no IP address") from error
+    return bare, port
 
 
 def address_text(value: Address) -> str:
-    """Return an address as ``10.0.0.1:80``."""
-    return f"{value[0]}:{value[1]}"
+    """Return an address as ``10.0.0.1:80`` or ``[::1]:80``."""
+    host = f"[{value[0]}]" if ":" in value[0] else value[0]
+    return f"{host}:{value[1]}"
 
 
 def rows(table: object) -> list[dict[str, Any]]:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -270,3 +270,15 @@
             await asyncio.sleep(0)
         assert connection._buffered_bytes <= 4 * READ_AHEAD_BYTES
         connection.abort()
+
+
+@pytest.mark.parametrize("host", ["\ufffd", "x" * 300, "127.0.0.1\0"])
+async def test_host_that_cannot_be_encoded_is_unavailable(host):
+    # Any other error than PeerUnavailable ends a request without an answer.
+    with pytest.raises(PeerUnavailable):
+        await connect((host, 80), timeout_s=1.0)
+
+
+async def test_port_that_does_not_exist_is_unavailable():
+    with pytest.raises(PeerUnavailable):
+        await connect(("127.0.0.1", 70_000), timeout_s=1.0)
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -1,5 +1,6 @@
 """Entries of other writers in the store, beside sound changes, behind relays and at a start."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -8,7 +9,7 @@
 
 from knapweeddock.gateway.service import Gateway
 from standins import documents
-from tests.platform.world import World, running_world
+from tests.platform.world import World, read_reply, request_bytes, running_world
 from tests.waiting import until
 
 OTHER_GATEWAYS = {"front-north-a-2": "north-a", "front-north-b-1": "north-b"}
@@ -80,3 +81,39 @@
             await until(lambda gateway=gateway: "i-0" not in gateway.routing_state.fleet.servers)
         for gateway in gateways:
             assert "i-foreign" not in gateway.routing_state.fleet.servers
+
+
+UNUSABLE_ADDRESSES = ["\ufffd\ufffd127.0.0.9:8080", "x" * 300 + ":80", "127.0.0.9\0:80"]
+"""Addresses that raise other errors than those of a connection that fails."""
+
+
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES, ids=range(len(UNUSABLE_ADDRESSES)))
+async def test_address_that_no_connection_can_have_costs_no_request_its_answer(tmp_path, address):
+    # The request was closed without an answer, and with it those behind on its connection.
+    async with running_world(tmp_path / "boot.toml") as world:
+        entry = world.servers["i-0"].entry(world.addresses["i-0"], "north-a", "ledger")
+        world.store.put("servers", "i-foreign", {**entry, "Address": address})
+        # Servers that are registered before a gateway starts get their full share at once.
+        await world.restart()
+        for key in range(24):
+            reader, writer = await world.connect()
+            for number in range(2):
+                name = f"{key}-{number}"
+                writer.write(request_bytes(f"/read/{name}", key=f"{key}", request_id=name))
+            assert [(await read_reply(reader)).status for _ in range(2)] == [200, 200]
+            writer.close()
+
+
+@pytest.mark.parametrize("address", ["\ufffd:7720", "x" * 300 + ":7720", "gateway.example:7720"])
+async def test_gateway_entry_with_an_unusable_address_ends_no_heartbeats(tmp_path, address):
+    # An error in sending a datagram to it closed the socket for heartbeats for good.
+    async with running_world(tmp_path / "boot.toml") as world:
+        content = world.store.kinds["gateways"][world.gateway.settings.vm].spec
+        foreign = {**content, "peer": address, "forwarding": address}
+        world.store.put("gateways", "foreign", foreign)
+        world.store.put("gateways", "sound", {**content, "peer": "127.0.0.1:9"})
+        await until(lambda: "sound" in world.gateway.routing_state.gateways)
+        world.gateway.peers.send()
+        await asyncio.sleep(0)
+        assert not world.gateway.peers.transport.is_closing()
+        assert "foreign" not in world.gateway.routing_state.gateways
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -1,6 +1,15 @@
 import pytest
 
-from knapweeddock.platform.values import DocumentError, address, field, number, rows, seconds
+from knapweeddock.platform.values import (
+    DocumentError,
+    address,
+    address_text,
+    endpoint,
+    field,
+    number,
+    rows,
+    seconds,
+)
 
 
 @pytest.mark.parametrize(
@@ -36,8 +45,36 @@
         number({"Weight": value}, "Weight", 1.0)
 
 
-def test_address():
-    assert address("10.0.0.1:80") == ("10.0.0.1", 80)
+@pytest.mark.parametrize(
+    "text",
+    [
+        "\ufffd\ufffd127.0.0.9:8080",
+        "server.example:80",
+        "a" * 300 + ":80",
+        "10.0.0.1\0:80",
+        "10.0.0.1 :80",
+        "10.0.0.256:80",
+        "10.0.0.1:\u0668\u0660",
+        pytest.param("10.0.0.1:" + "9" * 5000, id="long port"),
+        "::1:80:x",
+    ],
+)
+def test_addresses_to_which_no_connection_can_be_made_are_refused(text):
+    # Connecting raised an error that ended the request without an answer, or looked up a name.
+    with pytest.raises(DocumentError):
+        address(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [("10.0.0.1:80", ("10.0.0.1", 80)), ("[::1]:8080", ("::1", 8080))]
+)
+def test_address(text, expected):
+    assert address(text) == expected
+    assert address_text(expected) == text
+
+
+def test_endpoint_of_the_settings_may_be_a_name():
+    assert endpoint("store.example:80") == ("store.example", 80)
 
 
 def test_truth_values_are_no_numbers():
