Use no server whose name cannot stand in a header

A request names the server that it is meant for in Expected-Instance. A name with a line end, written by another writer, added headers to the requests of clients (shown by the test: the server received "Smuggled: 1"). Names of servers are now 1 to 256 visible ASCII characters; any other entry names no server and is logged as unreadable.

--- a/knapweeddock/platform/documents.py
+++ b/knapweeddock/platform/documents.py
@@ -34,6 +34,7 @@
     address_text,
     duration,
     field,
+    identifier,
     number,
     optional,
     rows,
@@ -168,7 +169,8 @@
     if slots < 1:
         raise DocumentError(f"Slots is {slots}")
     return ServerEntry(
-        server=ServerId(name),
+        # Requests name the server in a header.
+        server=ServerId(identifier(name)),
         service=ServiceId(field(spec, "Service", str)),
         address=address(spec.get("Address")),
         failure_domain=domain,
--- a/knapweeddock/platform/values.py
+++ b/knapweeddock/platform/values.py
@@ -19,6 +19,9 @@
 
 ENDPOINT = re.compile(r"(?P<host>\S+):(?P<port>[0-9]{1,5})", re.ASCII)
 
+IDENTIFIER = re.compile(r"[!-~]{1,256}")
+"""Visible ASCII characters, in a length that leaves room for other headers."""
+
 MAX_SHOWN_CHARACTERS = 80
 """Characters of a value that error messages show."""
 
@@ -148,6 +151,17 @@
     return f"{host}:{value[1]}"
 
 
+def identifier(text: str) -> str:
+    """Return an identifier that headers of requests can carry.
+
+    Raises:
+        DocumentError: It is empty, too long or has other characters than visible ASCII.
+    """
+    if IDENTIFIER.fullmatch(text) is None:
+        raise DocumentError(f"{shown(text)} is no identifier")
+    return text
+
+
 def rows(table: object) -> list[dict[str, Any]]:
     """Return the rows of a table that names its columns once.
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -104,6 +104,18 @@
             writer.close()
 
 
+@pytest.mark.parametrize("name", ["i-1\r\nSmuggled: 1", "i-\u4e2d", "i" * 16384])
+async def test_server_whose_name_no_header_can_carry_gets_no_request(tmp_path, name):
+    # The name goes into a header: it ended requests without an answer or added headers to them.
+    async with running_world(tmp_path / "boot.toml", servers=1) as world:
+        entry = world.servers["i-0"].entry(world.addresses["i-0"], "north-a", "ledger")
+        world.store.put("servers", name, entry)
+        await world.restart()
+        for key in range(24):
+            assert (await world.ask(f"/read/{key}", key=f"{key}")).status == 200
+        assert not any("Smuggled" in headers for headers in world.servers["i-0"].headers)
+
+
 @pytest.mark.parametrize("address", ["\ufffd:7720", "x" * 300 + ":7720", "gateway.example:7720"])
 async def test_gateway_entry_with_an_unusable_address_ends_no_heartbeats(tmp_path, address):
     # An error in sending a datagram to it closed the socket for heartbeats for good.
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -6,6 +6,7 @@
     address_text,
     endpoint,
     field,
+    identifier,
     number,
     rows,
     seconds,
@@ -77,6 +78,12 @@
     assert endpoint("store.example:80") == ("store.example", 80)
 
 
+@pytest.mark.parametrize("text", ["", "i 1", "i-1\r\nX: y", "\u00fc", "\u4e2d", "i\0", "i" * 16384])
+def test_identifiers_that_no_header_can_carry_are_refused(text):
+    with pytest.raises(DocumentError):
+        identifier(text)
+
+
 def test_truth_values_are_no_numbers():
     with pytest.raises(DocumentError):
         field({"Slots": True}, "Slots", int)
