Give up a watch whose answer is lost within the time to notice an outage

Cause: a watch lasts 15 s and 1.2 s more, and only a failed ping ends it sooner. Pings use another connection. If the store loses the answers to the watches and none to pings, nothing notices. Ruled out: a gateway that ignores the version (it is in force as soon as the watch ends), and the relays (each gateway of the case follows the store or a follower that has the same watch).

Change: a watch waits for half of the time within which an outage must be noticed, and its answer must come within 0.35 of it. Comparing the store's revision in answers to pings was considered: these are stale reads, which may be seconds old.

A watch could last 16.2 s, where 3 s are allowed; the test checks the longest one.

--- a/knapweeddock/gateway/store/inmemorystore.py
+++ b/knapweeddock/gateway/store/inmemorystore.py
@@ -130,6 +130,7 @@
         contents: Contents of the store, which may be shared with other clients.
         down: Whether every call of this client fails.
         watches_stalled: Whether this client's watches report no changes.
+        topics_losing_answers: Topics whose watches get no response.
         calls: Number of calls, failed ones included.
     """
 
@@ -138,6 +139,7 @@
         self.contents = contents or StoreContents()
         self.down = False
         self.watches_stalled = False
+        self.topics_losing_answers: set[Topic] = set()
         self.calls = 0
 
     @property
@@ -166,9 +168,19 @@
         self._begin_call()
         return Snapshot(items=dict(self.objects[topic]), position=self.contents.position)
 
-    async def watch(self, topic: Topic, position: StorePosition, wait_s: float) -> ChangeBatch:
+    async def watch(
+        self,
+        topic: Topic,
+        position: StorePosition,
+        wait_s: float,
+        *,
+        answer_timeout_s: float | None = None,
+    ) -> ChangeBatch:
         """Wait for changes of ``topic`` after ``position``."""
         self._begin_call()
+        if topic in self.topics_losing_answers:
+            await asyncio.sleep(wait_s + (answer_timeout_s or 0.0))
+            raise StoreUnavailable("the answer was lost")
         breaks = self.contents.watch_breaks
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
--- a/knapweeddock/gateway/store/storeclient.py
+++ b/knapweeddock/gateway/store/storeclient.py
@@ -104,8 +104,22 @@
         """Return all objects of ``topic``."""
 
     @abstractmethod
-    async def watch(self, topic: Topic, position: StorePosition, wait_s: float) -> ChangeBatch:
-        """Wait up to ``wait_s`` seconds for changes of ``topic`` after ``position``.
+    async def watch(
+        self,
+        topic: Topic,
+        position: StorePosition,
+        wait_s: float,
+        *,
+        answer_timeout_s: float | None = None,
+    ) -> ChangeBatch:
+        """Wait for changes of ``topic`` after ``position``.
+
+        Args:
+            topic: The topic.
+            position: Position up to which it is known.
+            wait_s: Time in seconds after which the store responds without a change.
+            answer_timeout_s: Time in seconds after ``wait_s`` within which the response must
+                arrive; None for that of all calls.
 
         Raises:
             HistoryGone: The store no longer keeps the changes since ``position``.
--- a/knapweeddock/gateway/store/storewatcher.py
+++ b/knapweeddock/gateway/store/storewatcher.py
@@ -18,6 +18,12 @@
 """Longest watch, as a fraction of the time for which the store keeps its history; the
 revision that a watch returns is then recent enough to start the next watch."""
 
+MAX_WATCH_FRACTION = 0.5
+WATCH_ANSWER_FRACTION = 0.35
+"""Longest watch, and the time after its end within which the answer must arrive, as fractions of
+``outage_detection_s``. The answer to a watch may be lost while the store responds to all other
+calls; this shows it, with time left for listing the topic."""
+
 BATCH_PAUSE_S = {
     Topic.CONFIGURATION: 0.1,
     Topic.SERVERS: 0.4,
@@ -59,15 +65,12 @@
 
     During an outage ``run`` retries only pings, since the platform bills every call.
 
-    Args:
-        history_retention_s: Time in seconds for which the store keeps its history.
-
     Attributes:
         outage_detection_s: Time in seconds within which an outage of the store must be
             detected.
         reregistration_s: Time in seconds within which servers register again after an
             outage of the store.
-        watch_timeout_s: Longest watch in seconds.
+        history_retention_s: Time in seconds for which the store keeps its history.
         last_response_at: Monotonic time of the store's last response, or of the
             construction while there was none.
         recovered_at: Monotonic time of the first response after the latest outage.
@@ -87,7 +90,7 @@
         self.store_cache = store_cache
         self.outage_detection_s = outage_detection_s
         self.reregistration_s = reregistration_s
-        self.watch_timeout_s = WATCH_TIMEOUT_FRACTION * history_retention_s
+        self.history_retention_s = history_retention_s
         self.rng = rng
         self.recovered_at = float("-inf")
         self._store_reachable = asyncio.Event()
@@ -105,6 +108,14 @@
         """
         return self._store_reachable.is_set()
 
+    @property
+    def watch_timeout_s(self) -> float:
+        """Longest watch in seconds."""
+        return min(
+            WATCH_TIMEOUT_FRACTION * self.history_retention_s,
+            MAX_WATCH_FRACTION * self.outage_detection_s,
+        )
+
     async def list_missing_topics(self, topics: Iterable[Topic]) -> None:
         """List those of ``topics`` that are not in the store cache, with retries until they are."""
         async with asyncio.TaskGroup() as group:
@@ -183,7 +194,13 @@
 
     async def _watch_topic(self, topic: Topic) -> None:
         position = self.store_cache.positions[topic]
-        task = asyncio.create_task(self.store_client.watch(topic, position, self.watch_timeout_s))
+        watch = self.store_client.watch(
+            topic,
+            position,
+            self.watch_timeout_s,
+            answer_timeout_s=WATCH_ANSWER_FRACTION * self.outage_detection_s,
+        )
+        task = asyncio.create_task(watch)
         self._watch_tasks[topic] = task
         try:
             await asyncio.wait([task])
--- a/knapweeddock/platform/store.py
+++ b/knapweeddock/platform/store.py
@@ -95,10 +95,19 @@
                 return Snapshot(items=items, position=position)
             after = page.objects[-1].name
 
-    async def watch(self, topic: Topic, position: StorePosition, wait_s: float) -> ChangeBatch:
+    async def watch(
+        self,
+        topic: Topic,
+        position: StorePosition,
+        wait_s: float,
+        *,
+        answer_timeout_s: float | None = None,
+    ) -> ChangeBatch:
         """Wait for changes of ``topic`` after ``position``."""
         query = f"?Watch={position.revision}&WaitMs={round(wait_s * 1000)}"
-        era, batch = await self._read(_path(topic) + query, decode_events, long_poll_s=wait_s)
+        era, batch = await self._read(
+            _path(topic) + query, decode_events, wait_s=wait_s, timeout_s=answer_timeout_s
+        )
         if era != position.era:
             # The store has given out the revision again, so changes below it are missing.
             raise EraChanged(f"watch of {topic.value}: era {era}, not {position.era}")
@@ -166,9 +175,14 @@
         return self.era
 
     async def _read(
-        self, target: str, decode_answer: Callable[[bytes], Answer], *, long_poll_s: float = 0.0
+        self,
+        target: str,
+        decode_answer: Callable[[bytes], Answer],
+        *,
+        wait_s: float = 0.0,
+        timeout_s: float | None = None,
     ) -> tuple[Era, Answer]:
-        response = await self.http.read(target, long_poll_s=long_poll_s)
+        response = await self.http.read(target, long_poll_s=wait_s, total_timeout_s=timeout_s)
         path = target.partition("?")[0]
         era = self._checked_era(path, response)
         _check(path, response)
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -71,6 +71,8 @@
         era_header: Value of the ``Store-Era`` header in place of ``era``; "" for no header.
         fault: What is wrong.
         deaf: Whether watches hear of nothing; they hear of all of it afterwards.
+        loses_answer: Returns whether the response to a call is lost: its connection stays open
+            and returns nothing further.
         encoded_texts: What is sent for a text in place of its JSON, which may be no valid text.
         calls: Method and path of each call.
     """
@@ -79,6 +81,7 @@
     era_header: str | None = None
     fault: StoreFault = StoreFault.NONE
     deaf: bool = False
+    loses_answer: Callable[[web.Request], bool] = lambda request: False
     encoded_texts: dict[str, bytes] = field(default_factory=dict)
     calls: list[tuple[str, str]] = field(default_factory=list)
     kinds: dict[str, dict[str, StoredDocument]] = field(default_factory=dict)
@@ -152,6 +155,8 @@
                 await asyncio.Event().wait()
         answer = await self._answer(request)
         self._state_era(answer)
+        if self.loses_answer(request):
+            await asyncio.Event().wait()
         if self.fault is StoreFault.LOSE_ANSWERS and request.method != "GET":
             request.transport.abort()
         return answer
--- a/tests/gateway/store/test_storewatcher.py
+++ b/tests/gateway/store/test_storewatcher.py
@@ -143,3 +143,24 @@
         setup.store_client.watches_stalled = False
         await until(lambda: setup.version() == 2)
         assert setup.store_watcher.store_reachable
+
+
+async def test_watch_whose_answer_is_lost_is_given_up_while_pings_succeed(monkeypatch):
+    # The store may lose single answers; the old configuration was in force for 16 s meanwhile.
+    async with running_watcher(monkeypatch) as setup:
+        watches = []
+        watch = setup.store_client.watch
+
+        async def record(topic, position, wait_s, *, answer_timeout_s):
+            watches.append((topic, wait_s + answer_timeout_s))
+            return await watch(topic, position, wait_s, answer_timeout_s=answer_timeout_s)
+
+        monkeypatch.setattr(setup.store_client, "watch", record)
+        setup.store_client.topics_losing_answers.add(Topic.CONFIGURATION)
+        setup.set_config(2)
+        await until(lambda: any(topic is Topic.CONFIGURATION for topic, _ in watches))
+        setup.store_client.topics_losing_answers.clear()
+        setup.set_config(3)
+        await until(lambda: setup.version() == 3)
+        assert max(longest_s for _, longest_s in watches) < setup.store_watcher.outage_detection_s
+        assert setup.store_watcher.store_reachable
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -89,6 +89,16 @@
         assert found.changes == []
 
 
+async def test_watch_whose_answer_is_lost_fails_after_its_time():
+    # Its connection stays open; nothing else would end the watch.
+    async with running_store_client() as (store, store_client):
+        position = StorePosition(era=store.era, revision=store.revision)
+        store.loses_answer = lambda request: "Watch" in request.query
+        with pytest.raises(StoreUnavailable):
+            await store_client.watch(Topic.SERVERS, position, 0.02, answer_timeout_s=0.05)
+        await store_client.ping(1.0)
+
+
 async def test_lost_history_is_told():
     async with running_store_client() as (store, store_client):
         store.put("servers", "a", documents.server())
