Watch longer and wait less for the answer, within the same time

The time for an answer was 1.05 s, where a slow store takes a third of a second. Watches now last 0.65 of it and the answer has 0.2: the sum, 0.85, and so the time until a lost answer shows, stays.

--- a/knapweeddock/gateway/store/storewatcher.py
+++ b/knapweeddock/gateway/store/storewatcher.py
@@ -18,8 +18,8 @@
 """Longest watch, as a fraction of the time for which the store keeps its history; the
 revision that a watch returns is then recent enough to start the next watch."""
 
-MAX_WATCH_FRACTION = 0.5
-WATCH_ANSWER_FRACTION = 0.35
+MAX_WATCH_FRACTION = 0.65
+WATCH_ANSWER_FRACTION = 0.2
 """Longest watch, and the time after its end within which the answer must arrive, as fractions of
 ``outage_detection_s``. The answer to a watch may be lost while the store responds to all other
 calls; this shows it, with time left for listing the topic."""
