Match responses to requests by their identifier only

Operators report: a server sends an earlier refusal once more on a kept connection; callers are told "not run" of requests that ran, or these run at a second server.

Cause: a response without the identifier was taken for the current request's. Ruled out by the tests that passed before: refusals with the identifier, at any time and in any number of segments, and copies on an idle connection.

Change: such a response ends the reuse of its connection, and on a connection that was in use before it is no response at all, so the request may have run. Requests without an identifier have connections of their own. A gateway adds the identifier to a response that lacks it, for peers that apply the rule.

The stand-in server did not repeat the identifier in refusals, which servers of the platform do; two tests of the gateway depended on that.

--- a/knapweeddock/gateway/peering/peerforwarder.py
+++ b/knapweeddock/gateway/peering/peerforwarder.py
@@ -132,7 +132,9 @@
         self, outgoing: OutgoingRequest, context: RequestContext, destination: PeerDestination
     ) -> PeerReply:
         try:
-            connection = await self.pool.acquire(destination, idempotent=outgoing.idempotent)
+            connection = await self.pool.acquire(
+                destination, idempotent=outgoing.idempotent, has_id=outgoing.has_id
+            )
         except PeerUnavailable as error:
             return _unreachable(error)
         try:
--- a/knapweeddock/gateway/requests/attempt.py
+++ b/knapweeddock/gateway/requests/attempt.py
@@ -120,6 +120,11 @@
         body = self.request.body
         return body.complete and body.received_bytes == len(self.buffered_body)
 
+    @property
+    def has_id(self) -> bool:
+        """Whether the client gave the request an identifier."""
+        return bool(self.metadata.request_id)
+
     @cached_property
     def digest(self) -> RequestDigest:
         """Digest by which the request is recognized when it comes again."""
@@ -155,7 +160,9 @@
         now = time.monotonic()
         with selection.server.load.track_pending(now=now, expected_s=selection.expected_s):
             try:
-                connection = await self.pool.acquire(entry, idempotent=outgoing.idempotent)
+                connection = await self.pool.acquire(
+                    entry, idempotent=outgoing.idempotent, has_id=outgoing.has_id
+                )
             except PeerUnavailable as error:
                 return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
             sent.sent_at = time.monotonic()
@@ -209,6 +216,9 @@
             echoed_header=self.wire.echoed_header(outgoing.metadata),
             head_only=head.method == b"HEAD",
         )
+        if not outgoing.has_id:
+            # A second copy of the response could not be told from the next one.
+            connection.disable_reuse()
         if fully_buffered:
             return await self._read_response(connection)
         return await self._stream_body(outgoing, connection, chunked=chunked)
--- a/knapweeddock/gateway/requests/connectionpool.py
+++ b/knapweeddock/gateway/requests/connectionpool.py
@@ -56,18 +56,23 @@
         self.connections_opened = 0
         self._idle: dict[str, list[HttpClientConnection]] = {}
 
-    async def acquire(self, entry: Destination, *, idempotent: bool) -> HttpClientConnection:
+    async def acquire(
+        self, entry: Destination, *, idempotent: bool, has_id: bool = True
+    ) -> HttpClientConnection:
         """Return a connection to the server, a new one if no idle one can be reused.
 
         Args:
             entry: The server.
             idempotent: Whether the request may run more than once; if not, only
                 connections that were idle for a short time are reused.
+            has_id: Whether the request has an identifier that its response repeats. On a
+                reused connection nothing else tells a late response to an earlier request
+                from its own.
 
         Raises:
             PeerUnavailable: No connection could be opened; nothing was sent.
         """
-        reused = self._acquire_idle(entry, idempotent=idempotent)
+        reused = self._acquire_idle(entry, idempotent=idempotent) if has_id else None
         if reused is not None:
             return reused
         self.connections_opened += 1
--- a/knapweeddock/gateway/requests/responder.py
+++ b/knapweeddock/gateway/requests/responder.py
@@ -61,7 +61,7 @@
         response = context.request.response
         headers = [
             *self._told(context, Origin.SERVER),
-            *self.wire.forwarded_response_headers(head),
+            *self.wire.forwarded_response_headers(head, context.metadata),
         ]
         if result.body_complete:
             length = (
--- a/knapweeddock/gateway/wire.py
+++ b/knapweeddock/gateway/wire.py
@@ -123,8 +123,15 @@
         """Return the metadata of a server's response."""
 
     @abstractmethod
-    def forwarded_response_headers(self, head: ResponseHead) -> HeaderList:
-        """Return the headers with which a server's response is sent to the client."""
+    def forwarded_response_headers(
+        self, head: ResponseHead, metadata: RequestMetadata
+    ) -> HeaderList:
+        """Return the headers with which a server's response is sent on.
+
+        Args:
+            head: Status line and headers from the server.
+            metadata: Metadata of the request, which the response has to name.
+        """
 
     @abstractmethod
     def error_headers(
--- a/knapweeddock/http1/client.py
+++ b/knapweeddock/http1/client.py
@@ -13,6 +13,7 @@
     ResponseHead,
     get_header,
     get_header_text,
+    get_header_values,
     is_bodiless,
 )
 
@@ -46,6 +47,10 @@
     NONE = "none"
 
 
+class _UnmatchedResponse(Exception):
+    """A response does not state the request that it belongs to."""
+
+
 class HttpClientConnection(asyncio.Protocol):
     """A connection to a server.
 
@@ -115,7 +120,9 @@
             data: Request head and the part of the body that is available.
             echoed_header: Name (lower case) and value of a request header that the
                 server echoes in the response. A response with another value
-                belongs to an earlier request and is skipped.
+                belongs to an earlier request and is skipped. One without a value may
+                belong to any request of this connection: it is malformed unless this is
+                the first one, and the connection is not reused afterwards.
             head_only: Whether the response has no body, as for ``HEAD``.
 
         Raises:
@@ -228,8 +235,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._persistent = False
             if not self.complete:
-                message = f"{self.address[0]}:{self.address[1]}: {error}"
-                self._error = MalformedResponse(message)
+                cause = error.__context__
+                reason = cause if isinstance(cause, _UnmatchedResponse) else error
+                self._error = MalformedResponse(f"{self.address[0]}:{self.address[1]}: {reason}")
         self._give_up_without_end()
         if self._buffered_bytes > READ_AHEAD_BYTES and not self.complete:
             self.transport.pause_reading()
@@ -297,6 +305,11 @@
         self._skipping_response = status < 200 or self._is_for_another_request(headers)
         if self._skipping_response:
             return
+        if not self._is_matched(headers):
+            self._persistent = False
+            if self.exchange_count > 1:
+                # The server may repeat an earlier response; the next one may be this request's.
+                raise _UnmatchedResponse(f"status {status} on a connection that was in use before")
         if not self._parser.should_keep_alive():
             self._persistent = False
         self.keep_alive_timeout_s = _parse_keep_alive_timeout(
@@ -318,8 +331,12 @@
     def _is_for_another_request(self, headers: Headers) -> bool:
         if self._echoed is None:
             return False
-        name, value = self._echoed
-        return get_header(headers, name) not in (None, value)
+        name, own_value = self._echoed
+        return any(value != own_value for value in get_header_values(headers, name))
+
+    def _is_matched(self, headers: Headers) -> bool:
+        """Whether the response states the request that it belongs to, if requests say theirs."""
+        return self._echoed is None or get_header(headers, self._echoed[0]) is not None
 
     def _find_framing(self, status: int, headers: Headers) -> BodyFraming:
         if self._head_only or is_bodiless(status):
--- a/knapweeddock/http1/messages.py
+++ b/knapweeddock/http1/messages.py
@@ -70,6 +70,11 @@
     return None
 
 
+def get_header_values(headers: Headers, name: bytes) -> list[bytes]:
+    """Return the values of all headers ``name`` (lower case)."""
+    return [value for field_name, value in headers if field_name.lower() == name]
+
+
 def get_header_text(headers: Headers, name: bytes) -> str:
     """Return the value of the first header ``name`` (lower case) as text, or ""."""
     value = get_header(headers, name)
--- a/knapweeddock/platform/wire.py
+++ b/knapweeddock/platform/wire.py
@@ -143,9 +143,14 @@
             log.warning("server's Retry-After cannot be used", value=text[:40])
         return DEFAULT_PAUSE_S if pause_s is None else 0.0
 
-    def forwarded_response_headers(self, head: ResponseHead) -> HeaderList:
-        """Return the headers of a server's response that is sent to a client."""
-        return end_to_end_headers(head.headers, excluded=KEPT_FROM_CLIENTS)
+    def forwarded_response_headers(
+        self, head: ResponseHead, metadata: RequestMetadata
+    ) -> HeaderList:
+        """Return the headers of a server's response that is sent to a client or a peer."""
+        headers = end_to_end_headers(head.headers, excluded=KEPT_FROM_CLIENTS)
+        if get_header(head.headers, REQUEST_ID) is None and metadata.request_id:
+            headers.append((b"Request-Id", metadata.request_id.encode("latin-1")))
+        return headers
 
     def error_headers(
         self, metadata: RequestMetadata | None, *, retry_after_s: float | None
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -98,6 +98,8 @@
             answer.headers["Server-Leaving"] = "1"
         if self.limit:
             answer.headers["Server-Limit"] = self.limit
+        if identifier := request.headers.get("Request-Id"):
+            answer.headers["Request-Id"] = identifier
         return answer
 
     async def _respond(self, request: web.Request) -> web.StreamResponse:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -56,6 +56,52 @@
         assert await exchange(connection) == b"own"
 
 
+UNMATCHED = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+"""A response without the identifier of its request."""
+
+
+async def test_connection_of_a_response_without_an_identifier_is_not_used_again():
+    # The server may send it once more, and then it would be taken for that to the next request.
+    async with scripted_server(respond_with(UNMATCHED)) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST, echoed_header=ECHOED_HEADER)
+        assert (await connection.read_head()).status == 503
+        assert await read_body(connection) == b""
+        connection.finish_exchange()
+        assert not connection.reusable
+
+
+async def test_response_without_an_identifier_on_a_reused_connection_is_malformed():
+    # It may belong to an earlier request, and must not count as this one's "not run".
+    async with scripted_server(respond_with(make_response(b"one"), UNMATCHED)) as address:
+        connection = await connect(address, timeout_s=1.0)
+        assert await exchange(connection) == b"one"
+        connection.finish_exchange()
+        connection.start_exchange(GET_REQUEST, echoed_header=ECHOED_HEADER)
+        with pytest.raises(MalformedResponse):
+            await connection.read_head()
+
+
+async def test_response_with_two_identifiers_belongs_to_another_request():
+    extra = b"Request-Id: earlier\r\n"
+    late_response = make_response(b"other", extra=extra)
+    async with scripted_server(respond_with(late_response + make_response(b"own"))) as address:
+        connection = await connect(address, timeout_s=1.0)
+        assert await exchange(connection) == b"own"
+
+
+async def test_connection_without_identifiers_is_used_again():
+    # The platform's store repeats no identifier.
+    async with scripted_server(respond_with(UNMATCHED, UNMATCHED)) as address:
+        connection = await connect(address, timeout_s=1.0)
+        for _ in range(2):
+            connection.start_exchange(GET_REQUEST)
+            assert (await connection.read_head()).status == 503
+            assert await read_body(connection) == b""
+            connection.finish_exchange()
+        assert connection.reusable
+
+
 async def test_interim_responses_are_skipped():
     interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
     async with scripted_server(respond_with(interim + make_response(b"own"))) as address:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -90,11 +90,20 @@
 
 def test_client_gets_no_headers_for_the_gateway():
     headers = WIRE.forwarded_response_headers(
-        response((b"Server-Load", b"1,0,3"), (b"Response-Signature", b"s"), (b"X", b"y"))
+        response((b"Server-Load", b"1,0,3"), (b"Response-Signature", b"s"), (b"X", b"y")),
+        RequestMetadata(request_id=""),
     )
     assert headers == [(b"Response-Signature", b"s"), (b"X", b"y")]
 
 
+def test_response_names_its_request_also_if_the_server_did_not():
+    # A peer takes a response without it for one that may belong to another request.
+    metadata = RequestMetadata(request_id="9c41")
+    assert WIRE.forwarded_response_headers(response(), metadata) == [(b"Request-Id", b"9c41")]
+    headers = WIRE.forwarded_response_headers(response((b"Request-Id", b"9c41")), metadata)
+    assert headers == [(b"Request-Id", b"9c41")]
+
+
 def test_refusal_tells_when_to_come_back():
     headers = WIRE.error_headers(RequestMetadata(request_id="9c41"), retry_after_s=0.25)
     assert headers == [(b"Request-Id", b"9c41"), (b"Retry-After", b"0.250")]
@@ -122,7 +131,9 @@
     assert limit_of(b" 3 ") == 3.0
     assert limit_of(b"0") == 0.0
     assert WIRE.parse_response(response()).limit_per_s is None
-    forwarded = WIRE.forwarded_response_headers(response((b"Server-Limit", b"2.5")))
+    forwarded = WIRE.forwarded_response_headers(
+        response((b"Server-Limit", b"2.5")), RequestMetadata(request_id="")
+    )
     assert forwarded == []
 
 
