--- a/tests/platform/test_repeated_responses.py
+++ b/tests/platform/test_repeated_responses.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
+from knapweeddock.errors import PeerUnavailable
+from knapweeddock.gateway.records import Address
+from knapweeddock.gateway.service import Gateway
+from knapweeddock.http1.client import HttpClientConnection
 from standins import documents
 from standins.byteserver import (
     Behaviour,
@@ -18,6 +23,7 @@
     running_byte_server,
 )
 from tests.platform.world import Reply, World, running_world
+from tests.waiting import until
 
 NOT_RUN = {408, 421, 429, 503}
 """Statuses by which a client concludes that its request has not run."""
@@ -26,11 +32,15 @@
 """Statuses with which servers say that they have not run a request."""
 
 
+WAYS = pytest.mark.parametrize("over_peer", [False, True], ids=["", "over a peer"])
+"""Whether the gateway of the clients is cut off, so that a peer sends their requests."""
+
+
 @contextlib.asynccontextmanager
 async def running_servers(
-    path: Path, behave: Behaviour, *, count: int = 3
+    path: Path, behave: Behaviour, *, count: int = 3, over_peer: bool = False
 ) -> AsyncIterator[tuple[World, list[ByteServer]]]:
-    """Run a gateway with servers that behave in a given way."""
+    """Run a gateway with servers that behave in a given way, beside a peer or cut off from all."""
     async with running_world(path, servers=0) as world, contextlib.AsyncExitStack() as stack:
         servers = []
         for index in range(count):
@@ -40,9 +50,27 @@
             entry = documents.server(Address=f"{address[0]}:{address[1]}", Service="ledger")
             world.store.put("servers", name, {**entry, "Zone": "north-a"})
         await world.restart()
+        if over_peer:
+            await stack.enter_async_context(world.another_gateway("front-north-a-2", "north-a"))
+            await cut_off(world.gateway)
         yield world, servers
 
 
+async def cut_off(gateway: Gateway) -> None:
+    """Let a gateway reach no server any more, and wait until it knows and has a peer."""
+
+    async def refuse(address: Address, *, timeout_s: float) -> HttpClientConnection:
+        raise PeerUnavailable("cut off")
+
+    await until(lambda: len(gateway.routing_state.gateways) == 2)
+    await until(lambda: len(list(gateway.feed.live_members(time.monotonic()))) == 2)
+    gateway.server_connector.open_connection = refuse
+    for state in gateway.routing_state.fleet.servers.values():
+        with contextlib.suppress(PeerUnavailable):
+            await gateway.server_connector.connect(state.entry)
+    await until(lambda: not gateway.reach_board.reaches_servers)
+
+
 def repeats_refusals(status: int, *, with_id: bool, when: str) -> Behaviour:
     """Refuse each fourth request of a connection, and send the refusal again with the next."""
 
@@ -87,15 +115,17 @@
     return replies
 
 
+@WAYS
 @pytest.mark.parametrize("when", ["as it arrives", "while it runs", "in two parts"])
 @pytest.mark.parametrize("with_id", [True, False], ids=["with id", "without id"])
 @pytest.mark.parametrize("status", REFUSALS)
 async def test_refusal_that_is_sent_again_is_not_taken_for_the_next_one(
-    tmp_path, status, with_id, when
+    tmp_path, status, with_id, when, over_peer
 ):
     # Clients were told "not run" of requests that ran, or these ran at a second server.
     behave = repeats_refusals(status, with_id=with_id, when=when)
-    async with running_servers(tmp_path / "boot.toml", behave) as (world, servers):
+    path = tmp_path / "boot.toml"
+    async with running_servers(path, behave, over_peer=over_peer) as (world, servers):
         replies = await send_some(world, method="POST", path="/book/")
         ran = Counter(name for server in servers for name in server.ran)
         assert [name for name, count in ran.items() if count > 1] == []
@@ -122,11 +152,15 @@
     return behave
 
 
+@WAYS
 @pytest.mark.parametrize("with_id", [True, False], ids=["with id", "without id"])
 @pytest.mark.parametrize(("method", "path"), [("GET", "/read/"), ("POST", "/book/")])
-async def test_response_that_is_sent_again_reaches_no_other_client(tmp_path, with_id, method, path):
+async def test_response_that_is_sent_again_reaches_no_other_client(
+    tmp_path, with_id, method, path, over_peer
+):
     behave = repeats_responses(with_id=with_id)
-    async with running_servers(tmp_path / "boot.toml", behave) as (world, _servers):
+    settings = tmp_path / "boot.toml"
+    async with running_servers(settings, behave, over_peer=over_peer) as (world, _servers):
         replies = await send_some(world, method=method, path=path)
         for name, reply in replies.items():
             assert reply.status == 200
