Begin no attempt in a planned stop that would be cut off at its end

Operators report: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated (LOST).

Cause: whether new work is taken was looked at once, when a request's head arrived. A request whose body came later, one that its server rejected later, one lost on the way to a peer, and one that takes longer than the rest of the grace period were sent to servers all the same. With a grace period over 6.7 s requests were taken later than 3 s after the signal.

Change: Departure decides before each attempt, from the time until the exit and the expected time of the attempt. A refusal for this reason has Retry-After 0, since the other gateways serve the request at once.

--- a/knapweeddock/gateway/peering/peerattempts.py
+++ b/knapweeddock/gateway/peering/peerattempts.py
@@ -13,6 +13,7 @@
 from knapweeddock.gateway.requests.decisionlog import DecisionLog
 from knapweeddock.gateway.requests.requestcontext import RequestContext
 from knapweeddock.gateway.requests.responder import Responder
+from knapweeddock.gateway.shutdown import Departure
 from knapweeddock.ids import VmId
 
 MAX_PEERS = 2
@@ -39,6 +40,7 @@
         attempt_tracker: Allows retries.
         responder: Writes responses.
         decision_log: Log of decisions about requests.
+        departure: Which attempts may begin while the gateway shuts down.
     """
 
     def __init__(
@@ -49,12 +51,14 @@
         attempt_tracker: AttemptTracker,
         responder: Responder,
         decision_log: DecisionLog,
+        departure: Departure,
     ) -> None:
         self.forwarder = forwarder
         self.reach_board = reach_board
         self.attempt_tracker = attempt_tracker
         self.responder = responder
         self.decision_log = decision_log
+        self.departure = departure
 
     async def run(self, context: RequestContext, outgoing: OutgoingRequest) -> bool:
         """Forward a request to one peer after the other, and pass the response on.
@@ -64,7 +68,7 @@
         """
         tried = context.forwarded_to
         refused: ForwardedResult | None = None
-        while len(tried) < MAX_PEERS:
+        while len(tried) < MAX_PEERS and self.departure.allows_attempt(time.monotonic()):
             peer = self.forwarder.choose(tried, context.route.regions)
             if peer is None:
                 break
--- a/knapweeddock/gateway/requests/forward.py
+++ b/knapweeddock/gateway/requests/forward.py
@@ -25,6 +25,7 @@
 from knapweeddock.gateway.requests.requestdigest import host_and_path
 from knapweeddock.gateway.requests.requestguard import RequestGuard
 from knapweeddock.gateway.requests.responder import Responder
+from knapweeddock.gateway.shutdown import Departure
 from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
 from knapweeddock.http1.responsewriter import ResponseState
@@ -40,8 +41,10 @@
 an upper limit, as for every request."""
 
 NOT_READY_RETRY_AFTER_S = 1.0
-"""Retry-After in seconds of a gateway that has no configuration or server list yet,
-or that is shutting down."""
+"""Retry-After in seconds of a gateway that has no configuration or server list yet."""
+
+LEAVING = Rejection(code=ResultCode.DRAINING, retry_after_s=0.0)
+"""Rejection by a gateway that shuts down: the other gateways serve the request at once."""
 
 RESPONSE_GRACE_S = 0.08
 """Time in seconds after the deadline in which the gateway still accepts a response
@@ -52,8 +55,7 @@
     """Request handler of a gateway.
 
     Attributes:
-        reject_new_requests: Whether requests are rejected because the gateway is
-            shutting down.
+        departure: Which attempts may begin while the gateway shuts down.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         reach_board: ReachBoard,
         reach_checker: ReachChecker,
         peer_attempts: PeerAttempts,
+        departure: Departure,
     ) -> None:
         self.routing_state = routing_state
         self.wire = wire
@@ -82,15 +85,21 @@
         self.reach_board = reach_board
         self.reach_checker = reach_checker
         self.peer_attempts = peer_attempts
-        self.reject_new_requests = False
+        self.departure = departure
 
     async def handle(self, request: IncomingRequest) -> None:
         """Route a client's request, forward it and respond."""
         metadata = self.wire.parse_request(request.head)
         config = self.routing_state.config
-        if config is None or not self.routing_state.fleet.is_loaded or self.reject_new_requests:
-            code = ResultCode.DRAINING if self.reject_new_requests else ResultCode.NOT_READY
-            self.responder.reject(request, metadata, code, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        if not self.departure.allows_attempt(time.monotonic()):
+            self.responder.reject(
+                request, metadata, LEAVING.code, retry_after_s=LEAVING.retry_after_s
+            )
+            return
+        if config is None or not self.routing_state.fleet.is_loaded:
+            self.responder.reject(
+                request, metadata, ResultCode.NOT_READY, retry_after_s=NOT_READY_RETRY_AFTER_S
+            )
             return
         target = host_and_path(request.head)
         if target is None:
@@ -188,6 +197,9 @@
                 else:
                     await self._respond_without_server(context, selection)
                 return
+            if not self.departure.allows_attempt(now, expected_s=selection.expected_s):
+                await self._respond_without_server(context, LEAVING)
+                return
             sent = self.server_selector.record_sent(selection_request, selection, now)
             context.tried.append(selection.server.entry.server)
             try:
@@ -247,6 +259,8 @@
         """
         if context.forwarded is None and await self.peer_attempts.run(context, outgoing):
             return
+        if not self.departure.allows_attempt(time.monotonic()):
+            rejection = LEAVING
         if rejection is None:
             rejection = self.server_selector.rejections.reject_unreached()
         await self._respond_without_server(context, rejection)
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -46,7 +46,7 @@
 from knapweeddock.gateway.requests.responder import Responder
 from knapweeddock.gateway.requests.serverconnector import ServerConnector
 from knapweeddock.gateway.settings import GatewaySettings
-from knapweeddock.gateway.shutdown import close_in_time
+from knapweeddock.gateway.shutdown import Departure, close_in_time
 from knapweeddock.gateway.store.registrations import Registrations
 from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.store.storecache import StoreCache, Update
@@ -69,6 +69,7 @@
 
     Attributes:
         phase: Whether the gateway starts, serves or shuts down.
+        departure: What it still begins while it shuts down.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         self.rng = rng or random.Random()
         self.incarnation = Incarnation(new_id())
         self.phase = GatewayPhase.STARTING
+        self.departure = Departure()
         self.routing_state = RoutingState(
             fleet=Fleet(), return_hold_s=settings.limits.return_hold_s
         )
@@ -257,6 +259,7 @@
             reach_board=self.reach_board,
             reach_checker=self.reach_checker,
             peer_attempts=self._peer_attempts(),
+            departure=self.departure,
         )
         self.forwarded_requests = ForwardedRequests(
             routing_state=self.routing_state,
@@ -275,6 +278,7 @@
             attempt_tracker=self.attempt_tracker,
             responder=self.responder,
             decision_log=self.decision_log,
+            departure=self.departure,
         )
 
     def _request_guard(self) -> RequestGuard:
@@ -438,6 +442,7 @@
         Returns after ``SHUTDOWN_FRACTION`` of the shutdown timeout at the latest.
         """
         self.phase = GatewayPhase.LEAVING
+        self.departure.begin(time.monotonic(), timeout_s=self.settings.limits.shutdown_timeout_s)
         self.front_listener.draining = True
         self.forwarding_listener.draining = True
         self.relay.close()
@@ -449,14 +454,10 @@
         )
         await close_in_time(
             self.front_listener,
-            timeout_s=self.settings.limits.shutdown_timeout_s,
-            on_stop_accepting=self._reject_new_requests,
+            self.departure,
             has_other_work=lambda: self.forwarded_requests.active > 0,
         )
 
-    def _reject_new_requests(self) -> None:
-        self.forwarder.reject_new_requests = True
-
     # Heartbeats and metrics
 
     def _live_gateways(self) -> list[VmId]:
--- a/tests/platform/test_repeated_responses.py
+++ b/tests/platform/test_repeated_responses.py
@@ -38,10 +38,11 @@
 
 @contextlib.asynccontextmanager
 async def running_servers(
-    path: Path, behave: Behaviour, *, count: int = 3, over_peer: bool = False
+    path: Path, behave: Behaviour, *, count: int = 3, over_peer: bool = False, grace: str = "6s"
 ) -> AsyncIterator[tuple[World, list[ByteServer]]]:
     """Run a gateway with servers that behave in a given way, beside a peer or cut off from all."""
-    async with running_world(path, servers=0) as world, contextlib.AsyncExitStack() as stack:
+    async with contextlib.AsyncExitStack() as stack:
+        world = await stack.enter_async_context(running_world(path, servers=0, grace=grace))
         servers = []
         for index in range(count):
             name = f"i-{index}"
