Close no connection in a planned stop whose request may be unread

A connection that was accepted just before a stop closes idle connections has no request as far as the process knows, though one may have arrived. A stop now closes a connection only after it has been idle for 0.2 s.

test_request_that_has_just_arrived_is_answered_when_idle_connections_are_ closed failed before with ConnectionResetError.

--- a/knapweeddock/gateway/shutdown.py
+++ b/knapweeddock/gateway/shutdown.py
@@ -25,6 +25,10 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval in seconds at which a shutdown closes connections that became idle."""
 
+MIN_IDLE_S = 0.2
+"""Time in seconds for which a connection must be idle before a shutdown closes it. The request of
+a connection that was just accepted may have arrived without having been read."""
+
 
 class Departure:
     """Decides which attempts a gateway begins while it shuts down.
@@ -71,6 +75,6 @@
     await asyncio.sleep(departure.stops_at - time.monotonic())
     listener.stop_accepting()
     while time.monotonic() < departure.ends_at:
-        if not listener.close_idle_connections() and not has_other_work():
+        if not listener.close_idle_connections(MIN_IDLE_S) and not has_other_work():
             break
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/knapweeddock/http1/server.py
+++ b/knapweeddock/http1/server.py
@@ -87,6 +87,7 @@
         transport: Transport, or None until the connection is established.
         requests: Requests without a complete response, in the order received.
         closing: Whether the connection accepts no further requests.
+        idle_since: Loop time (monotonic) of its begin or of the end of its last response.
     """
 
     def __init__(self, *, listener: "HttpListener") -> None:
@@ -95,6 +96,7 @@
         self.transport: asyncio.Transport | None = None
         self.requests: deque[IncomingRequest] = deque()
         self.closing = False
+        self.idle_since = self.loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._incomplete_request: IncomingRequest | None = None
         self._reading_head = False
@@ -318,6 +320,7 @@
 
     def response_done(self, response: ResponseWriter) -> None:
         """Remove requests whose response is done, then send the next response or close."""
+        self.idle_since = self.loop.time()
         while self.requests and self.requests[0].response.is_done:
             request = self.requests.popleft()
             if request.response.state is ResponseState.ABORTED:
@@ -354,14 +357,19 @@
         else:
             self.transport.close()
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, min_idle_s: float = 0.0) -> bool:
         """Close the connection unless a request is being received or handled.
 
+        Args:
+            min_idle_s: Time in seconds for which it must have been idle.
+
         Returns:
             Whether the connection was closed.
         """
         if self.requests or self._reading_head:
             return False
+        if self.loop.time() - self.idle_since < min_idle_s:
+            return False
         self.closing = True
         self.transport.close()
         return True
@@ -455,13 +463,16 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle_connections(self) -> int:
+    def close_idle_connections(self, min_idle_s: float = 0.0) -> int:
         """Close idle connections and return the number of open connections.
 
         Those that were just closed are counted, until their transports are closed.
+
+        Args:
+            min_idle_s: Time in seconds for which a connection must have been idle.
         """
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.close_if_idle(min_idle_s)
         return len(self.connections)
 
     @property
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -248,3 +248,20 @@
         writer.write(b"ok")
         await read_response(reader)
         assert rig.received_bodies == [b"ok"]
+
+
+async def test_request_that_has_just_arrived_is_answered_when_idle_connections_are_closed():
+    # A connection that was just accepted looks idle until its request has been read.
+    rig = ServerRig()
+    async with open_connection(rig) as (reader, writer):
+        writer.write(make_get("/first"))
+        rig.listener.draining = True
+        assert rig.listener.close_idle_connections(0.2) == 1
+        assert (await read_response(reader)).endswith(b"answer to /first")
+
+
+async def test_connection_that_stays_idle_is_closed_in_the_end():
+    rig = ServerRig()
+    async with open_connection(rig) as (reader, _):
+        await until(lambda: rig.listener.close_idle_connections(0.05) == 0)
+        assert await read_all(reader) == b""
