Write a registration again that was replaced or removed

A write of an earlier start of a gateway may be executed by the store seconds later ("may be executed seconds later if its condition still holds"), after that of the present start. No look-up named the gateway then, for good: look-ups leave out a registration of another start, and the gateway looked only for a missing one, every 30 s, if it followed the store itself. A subscriber whose registration was removed never wrote it again.

Change: an update that shows another own entry, or none, is checked after a second, since a relay may be behind; if it still holds, the gateway registers again, after twice the time each further time.

Before, with a limit of 8 s for a wait: the tests of a replaced and of a removed registration failed. The test that nobody writes without need passed.

--- a/knapweeddock/gateway/store/registrations.py
+++ b/knapweeddock/gateway/store/registrations.py
@@ -4,7 +4,9 @@
 registration behind. The gateways of a region that watch the store remove it after
 ``GATEWAY_EXPIRY_S`` without any sign of life. A gateway that watches the store and
 finds its own registration missing writes it again. If the store comes back from an
-older copy that lacks the registration, each gateway writes its own at once.
+older copy that lacks the registration, each gateway writes its own at once. A gateway
+whose registration was replaced, as by a write of its earlier start that the store executed
+late, writes it again, too: look-ups would not name the present start.
 
 A gateway keeps the refused requests of which it has evidence in its registration, for
 gateways that start later or reach only the store, and takes them over when it starts again.
@@ -38,6 +40,10 @@
 CHECK_INTERVAL_S = 30.0
 REGISTER_RETRY_S = 0.5
 
+REPLACED_DELAY_S = 1.0
+"""Time in seconds after which a registration that was replaced is written again, if it was not an
+older state that came late. It doubles each time, for two gateways with the same name."""
+
 PREVIOUS_ENTRY_WAIT_S = 0.5
 """Longest time in seconds for which a gateway that starts again waits for the registration that
 it had before, with what it kept there."""
@@ -104,13 +110,20 @@
         self.expiry_tracker = ExpiryTracker()
         self._registered_era: Era | None = None
         self._is_lost_in_return = False
+        self._replaced_count = 0
         self._must_write = asyncio.Event()
+        self._may_be_replaced = asyncio.Event()
         self._has_list = asyncio.Event()
 
     async def run(self) -> None:
         """Register, then check all registrations until cancelled."""
         await self._await_previous_entry()
         await self.register()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._run_checks())
+            group.create_task(self._restore_replaced())
+
+    async def _run_checks(self) -> None:
         while True:
             try:
                 async with asyncio.timeout(CHECK_INTERVAL_S * (0.8 + 0.4 * self.rng.random())):
@@ -120,6 +133,25 @@
             else:
                 await self._write_again()
 
+    async def _restore_replaced(self) -> None:
+        """Write this gateway's registration again each time it was replaced or removed."""
+        while True:
+            await self._may_be_replaced.wait()
+            delay_s = min(CHECK_INTERVAL_S, REPLACED_DELAY_S * 2**self._replaced_count)
+            await asyncio.sleep(delay_s * (0.8 + 0.4 * self.rng.random()))
+            self._may_be_replaced.clear()
+            found = self.gateways().get(self.own_entry.vm)
+            if found == self.own_entry:
+                continue
+            self._replaced_count += 1
+            log.warning(
+                "registration replaced",
+                vm=self.own_entry.vm,
+                incarnation=self.own_entry.incarnation,
+                found=found.incarnation if found is not None else None,
+            )
+            self._must_write.set()
+
     async def _await_previous_entry(self) -> None:
         if self.is_new:
             return
@@ -143,9 +175,11 @@
         if self._registered_era is None:
             return
         own_vm = self.own_entry.vm
-        if update.position.era <= self._registered_era or not (
-            update.whole or own_vm in update.items
-        ):
+        if not (update.whole or own_vm in update.items):
+            return
+        if update.position.era <= self._registered_era:
+            if update.items.get(own_vm) != self.own_entry:
+                self._may_be_replaced.set()
             return
         if update.items.get(own_vm) == self.own_entry:
             self._registered_era = update.position.era
