--- a/knapweeddock/gateway/requests/attempt.py
+++ b/knapweeddock/gateway/requests/attempt.py
@@ -15,6 +15,7 @@
 )
 from knapweeddock.gateway.limits.dividedlimit import SentRequest
 from knapweeddock.gateway.placement.selection import Selection
+from knapweeddock.gateway.records import ServerEntry
 from knapweeddock.gateway.requests.connectionpool import ConnectionPool, Destination
 from knapweeddock.gateway.requests.requestdigest import request_digest
 from knapweeddock.gateway.wire import (
@@ -159,34 +160,45 @@
         entry = selection.server.entry
         now = time.monotonic()
         with selection.server.load.track_pending(now=now, expected_s=selection.expected_s):
-            try:
-                connection = await self.pool.acquire(
-                    entry, idempotent=outgoing.idempotent, has_id=outgoing.has_id
-                )
-            except PeerUnavailable as error:
-                return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
-            sent.sent_at = time.monotonic()
-            try:
-                headers = self.wire.forwarded_request_headers(
-                    outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
-                )
-                result = await self.exchange(outgoing, connection, headers)
-            except PeerUnavailable as error:
-                return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
-            except ResponseError as error:
-                connection.abort()
-                return lost_result(error)
-            except BaseException:
-                # The client disconnected or the deadline passed: closing the
-                # connection tells the server to stop working.
-                connection.abort()
-                raise
-        result.destination = entry
-        result.pool = self.pool
+            result = await self._send(outgoing, entry, sent, remaining_s=remaining_s)
+        if result.connection is not None:
+            result.destination = entry
+            result.pool = self.pool
         if result.body_complete:
             result.release()
         return result
 
+    async def _send(
+        self,
+        outgoing: OutgoingRequest,
+        entry: ServerEntry,
+        sent: SentRequest,
+        *,
+        remaining_s: float,
+    ) -> AttemptResult:
+        try:
+            connection = await self.pool.acquire(
+                entry, idempotent=outgoing.idempotent, has_id=outgoing.has_id
+            )
+        except PeerUnavailable as error:
+            return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
+        sent.sent_at = time.monotonic()
+        headers = self.wire.forwarded_request_headers(
+            outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
+        )
+        try:
+            return await self.exchange(outgoing, connection, headers)
+        except PeerUnavailable as error:
+            return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
+        except ResponseError as error:
+            connection.abort()
+            return lost_result(error)
+        except BaseException:
+            # The client disconnected or the deadline passed: closing the connection tells the
+            # server to stop working.
+            connection.abort()
+            raise
+
     async def exchange(
         self, outgoing: OutgoingRequest, connection: HttpClientConnection, headers: HeaderList
     ) -> AttemptResult:
