--- a/knapweeddock/gateway/endpoints.py
+++ b/knapweeddock/gateway/endpoints.py
@@ -15,8 +15,9 @@
 from knapweeddock.gateway.settings import GatewaySettings
 from knapweeddock.gateway.store.routingstate import RoutingState
 from knapweeddock.gateway.wire import WireFormat
+from knapweeddock.http1.listener import HttpListener, listening
 from knapweeddock.http1.messages import get_header_text
-from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest, listening
+from knapweeddock.http1.server import ClientLimits, IncomingRequest
 from knapweeddock.metrics import METRICS_PATH
 
 log = structlog.get_logger(__name__)
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -53,7 +53,7 @@
 from knapweeddock.gateway.store.storeclient import StoreClient, Topic
 from knapweeddock.gateway.store.storewatcher import StoreWatcher
 from knapweeddock.gateway.wire import WireFormat
-from knapweeddock.http1.server import HttpListener, listening, listening_if
+from knapweeddock.http1.listener import HttpListener, listening, listening_if
 from knapweeddock.ids import Incarnation, RegionId, ServiceId, VmId, new_id
 from knapweeddock.stalls import watch_from_now
 
--- a/knapweeddock/gateway/shutdown.py
+++ b/knapweeddock/gateway/shutdown.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from knapweeddock.http1.server import HttpListener
+from knapweeddock.http1.listener import HttpListener
 
 STOP_ACCEPTING_FRACTION = 0.45
 """Fraction of ``shutdown_timeout_s`` after which new connections and requests are
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -3,7 +3,8 @@
 from collections.abc import AsyncIterator
 
 from knapweeddock.errors import IncompleteRequest
-from knapweeddock.http1.server import ClientLimits, HttpListener, IncomingRequest
+from knapweeddock.http1.listener import HttpListener
+from knapweeddock.http1.server import ClientLimits, IncomingRequest
 from tests.http1.scripted import read_all, read_head
 from tests.waiting import until
 
