Log the request that an unexpected error ends, and name it in its answer

Since a failed handler is answered, on-call engineers could not get from the request's id to the cause: "request handler failed" has no id. The forwarder now logs "request not handled" with the id and the traceback, and answers with code 208 (handler_failed, 500), which promises nothing.

--- a/knapweeddock/codes.py
+++ b/knapweeddock/codes.py
@@ -48,6 +48,7 @@
     INCOMPLETE_ANSWER = 205
     ANSWER_NOT_KEPT = 206
     KEY_FORGOTTEN = 207
+    HANDLER_FAILED = 208
 
     SYNTAX = 301
     DUPLICATE_KEY = 302
@@ -153,6 +154,9 @@
     ResultCode.KEY_FORGOTTEN: _unknown(
         409, "The not-after time passed so long ago that the key is no longer remembered."
     ),
+    ResultCode.HANDLER_FAILED: _unknown(
+        500, "The process failed unexpectedly while it handled the request."
+    ),
     ResultCode.SYNTAX: _not_run(400, "A file is not valid JSON with comments."),
     ResultCode.DUPLICATE_KEY: _not_run(400, "An object names the same key twice."),
     ResultCode.UNKNOWN_FIELD: _not_run(400, "A field is not known."),
--- a/knapweeddock/gateway/requests/forward.py
+++ b/knapweeddock/gateway/requests/forward.py
@@ -4,6 +4,8 @@
 import time
 from http import HTTPStatus
 
+import structlog
+
 from knapweeddock.codes import ResultCode
 from knapweeddock.errors import IncompleteRequest
 from knapweeddock.gateway.evidence.quarantine import Quarantined, Suspected, Unsuspected
@@ -31,6 +33,8 @@
 from knapweeddock.http1.responsewriter import ResponseState
 from knapweeddock.http1.server import IncomingRequest
 
+log = structlog.get_logger(__name__)
+
 RETRY_BUFFER_BYTES = 64 * 1024
 """Size in bytes up to which request bodies are buffered so that a retry can send them
 again. A request is forwarded once its body is complete or larger than this, so that a
@@ -139,11 +143,21 @@
                 context.request.response.abort()
         except IncompleteRequest:
             self.decision_log.record_client_disconnect(context)
+        except Exception:
+            log.exception("request not handled", request=context.metadata.request_id)
+            self._respond_failed(context)
         except asyncio.CancelledError:
             if context.request.cancelled:
                 self.decision_log.record_client_disconnect(context)
             raise
 
+    def _respond_failed(self, context: RequestContext) -> None:
+        if context.request.response.state is ResponseState.WAITING:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            self.responder.fail(context, status, ResultCode.HANDLER_FAILED)
+        else:
+            context.request.response.abort()
+
     def _respond_timeout(self, context: RequestContext) -> None:
         if context.tried or context.forwarded_to:
             self.responder.fail(context, HTTPStatus.GATEWAY_TIMEOUT, ResultCode.DEADLINE_DURING_RUN)
--- a/tests/platform/test_explaining.py
+++ b/tests/platform/test_explaining.py
@@ -84,3 +84,18 @@
     assert "request quarantined" in [line.event for line in story.evidence]
     assert 'reason="quarantined"' in metrics
     assert 'knapweed_suspect_requests{process="knapweed-gateway",treatment="quarantined"' in metrics
+
+
+async def test_failed_by_an_unexpected_error_of_the_gateway(tmp_path, logs, monkeypatch):
+    async with running_world(tmp_path / "boot.toml") as world:
+
+        async def fail(*arguments, **options):
+            raise ValueError("a fault of the gateway")
+
+        monkeypatch.setattr(world.gateway.attempt_runner, "run", fail)
+        reply = await world.ask("/book/a", method="POST", body=b"x", request_id="lost-5")
+        assert reply.status == 500
+    cause, end = story_of("lost-5", logs).steps
+    assert cause.event == "request not handled"
+    assert "a fault of the gateway" in logs.getvalue()
+    assert (end.event, end.fields["reason"]) == ("request failed", "handler_failed")
