Draw entries of other writers and lost answers to watches in the soak

Generation 4 adds six contents of foreign entries for four kinds, which excuse nothing, and the loss of all answers to watches of one kind.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from soak.links import LinkFault
@@ -160,6 +161,50 @@
     for_s: float
 
 
+class ForeignContent(Enum):
+    """Fields of an entry of another writer that differ from those of a sound one."""
+
+    NUMBER = {"Slots": 10**20}
+    ADDRESS = {"Address": "\ufffd\ufffd127.0.0.9:8080", "peer": "\ufffd:7720"}
+    SURROGATE = {"Zone": "@surrogate"}
+    NOT_TEXT = {"Zone": "@bytes"}
+    OUT_OF_RANGE = {"Slots": "@float"}
+    NESTED = {"Zone": "@nested"}
+
+
+ENCODED_TEXTS = {
+    "@surrogate": rb'"\udcff"',
+    "@bytes": b'"\xff\xfe"',
+    "@float": b"1e400",
+    "@nested": b"[" * 5000 + b"]" * 5000,
+}
+"""What the store sends for a text of a ``ForeignContent``: JSON that is hard to decode."""
+
+
+STORE_CHOICES = {
+    "topic": ["config", "servers", "evacuations", "gateways"],
+    "content": list(ForeignContent),
+}
+"""What fields of faults of the store are drawn from; ``topic`` is the kind of an entry there."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForeignEntry:
+    """Another writer has an entry in the store that cannot be used."""
+
+    topic: str
+    content: ForeignContent
+    for_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoseAnswers:
+    """The store loses all answers to watches of one kind; those to other calls arrive."""
+
+    topic: str
+    for_s: float
+
+
 Fault = (
     KillGateway
     | StopGateway
@@ -179,13 +224,19 @@
     | ReturnStore
     | LeaveServer
     | LimitServer
+    | ForeignEntry
+    | LoseAnswers
 )
 
-LATEST_GENERATION = 3
+LATEST_GENERATION = 4
 """Generation of the kinds of faults. A seed that was recorded before kinds were added
 draws from those of its own generation, so that it stays the same run."""
 
-ADDED_KINDS = {2: (ReturnStore, LeaveServer, ServerFault.PAUSE), 3: (LimitServer,)}
+ADDED_KINDS = {
+    2: (ReturnStore, LeaveServer, ServerFault.PAUSE),
+    3: (LimitServer,),
+    4: (ForeignEntry, LoseAnswers),
+}
 """Kinds of faults that a generation added, at the end of the list of kinds."""
 
 
@@ -241,6 +292,8 @@
             return round(rng.uniform(0.0, 0.5), 2)
         case "times":
             return rng.randint(1, MOST_CHANGES)
+        case "topic" | "content":
+            return rng.choice(STORE_CHOICES[name])
         case "renamed":
             return rng.random() < 0.5
         case "fault":
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -18,6 +18,9 @@
 LIMIT_PER_S = 1.5
 """Requests per second that a server in need takes from all gateways together."""
 
+FOREIGN_NAME = "a-foreign"
+"""Name of another writer's entry, which comes before the others in lists."""
+
 REWRITE_S = 1.0
 """Time in seconds after which servers and operator have written their objects again."""
 
@@ -29,7 +32,13 @@
             await _change_routes(deployment, fault)
         case faults.EvacuateDomain():
             await _evacuate(deployment, DOMAINS[fault.domain], fault.for_s)
-        case faults.DisturbStore() | faults.DeafStore() | faults.ForgetHistory():
+        case (
+            faults.DisturbStore()
+            | faults.DeafStore()
+            | faults.ForgetHistory()
+            | faults.ForeignEntry()
+            | faults.LoseAnswers()
+        ):
             await _apply_to_store(deployment, fault)
         case faults.ReturnStore():
             await _return_store(deployment, fault.for_s)
@@ -81,6 +90,15 @@
                 store.deaf = True
                 await asyncio.sleep(fault.for_s)
                 store.hear_again()
+        case faults.LoseAnswers():
+            with deployment.seen.disturbed("store"):
+                store.loses_answer = lambda request: (
+                    "Watch" in request.query and request.match_info["kind"] == fault.topic
+                )
+                await asyncio.sleep(fault.for_s)
+                store.loses_answer = lambda request: False
+        case faults.ForeignEntry():
+            await _write_foreign_entry(deployment, fault)
 
 
 async def _apply_to_server(deployment: Deployment, host: ServerHost, fault: Fault) -> None:
@@ -97,6 +115,17 @@
             await _misbehave(deployment.seen, host, fault)
 
 
+async def _write_foreign_entry(deployment: Deployment, fault: faults.ForeignEntry) -> None:
+    """Keep an entry of another writer in the store; nothing is excused by it."""
+    store = deployment.store
+    store.encoded_texts.update(faults.ENCODED_TEXTS)
+    sound = next(iter(store.kinds.get(fault.topic, {}).values()), None)
+    content = {**sound.spec, **fault.content.value} if sound is not None else fault.content.value
+    store.put(fault.topic, FOREIGN_NAME, content)
+    await asyncio.sleep(fault.for_s)
+    store.remove(fault.topic, FOREIGN_NAME)
+
+
 async def _return_store(deployment: Deployment, age_s: float) -> None:
     store = deployment.store
     copy = store.copy()
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -6,7 +6,10 @@
     LONGEST_S,
     DisturbStore,
     Fault,
+    ForeignContent,
+    ForeignEntry,
     LeaveServer,
+    LoseAnswers,
     MisbehaveServer,
     ReturnStore,
     Size,
@@ -50,6 +53,15 @@
     assert server == set(ServerFault) - {ServerFault.NONE}
 
 
+def test_every_content_of_foreign_entries_is_drawn_for_every_kind():
+    # Single kinds of entries are decoded apart, and each content fails at another step.
+    drawn = [planned.fault for planned in draw(4, faults=3000)]
+    found = {(fault.topic, fault.content) for fault in drawn if isinstance(fault, ForeignEntry)}
+    assert len(found) == 4 * len(ForeignContent)
+    lost = {fault.topic for fault in drawn if isinstance(fault, LoseAnswers)}
+    assert len(lost) == 4
+
+
 def test_recorded_seed_draws_the_kinds_that_it_was_recorded_with():
     # Another kind in the list would turn a seed that failed once into another run.
     rng = random.Random(6064)
