Take no error of an address for another in the separate entry process

On this path, too, connecting to a host that cannot be encoded raised UnicodeError through the call, in place of an outcome. Its addresses come from the operators' folder, not from other writers, so callers have not been seen to suffer from it. Nothing has been sent at that point, so the server counts as unreachable.

--- a/knapweeddock/entry/httpclient.py
+++ b/knapweeddock/entry/httpclient.py
@@ -229,14 +229,19 @@
         except ValueError as error:
             log.error("invalid address", address=call.address, error=str(error))
             return CallResult(outcome=AttemptOutcome.CONNECT_FAILED)
-        response = await session.request(
-            call.method,
-            url,
-            headers=call.headers,
-            data=call.body or None,
-            allow_redirects=False,
-            timeout=ClientTimeout(connect=connect_timeout_s),
-        )
+        try:
+            response = await session.request(
+                call.method,
+                url,
+                headers=call.headers,
+                data=call.body or None,
+                allow_redirects=False,
+                timeout=ClientTimeout(connect=connect_timeout_s),
+            )
+        except UnicodeError as error:
+            # Host and headers are encoded before anything is sent.
+            log.error("invalid address", address=call.address, error=str(error))
+            return CallResult(outcome=AttemptOutcome.CONNECT_FAILED)
         try:
             return await self._receive(response, call, commit)
         finally:
--- a/tests/entry/test_httpclient.py
+++ b/tests/entry/test_httpclient.py
@@ -55,3 +55,14 @@
     result = await client.call(refused, lambda response: False)
     assert result.outcome is AttemptOutcome.CONNECT_FAILED
     await client.close()
+
+
+@pytest.mark.parametrize("address", ["\ufffd:80", "x" * 300 + ":80", "127.0.0.1\0:80"])
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_address_that_cannot_be_encoded_is_unreachable(address, idempotent):
+    """Guards against an error of another type, which no one on the way of a request expects."""
+    client = make_client()
+    call = Call(**{**call_options(address), "idempotent": idempotent})
+    result = await client.call(call, lambda response: False)
+    assert result.outcome is AttemptOutcome.CONNECT_FAILED
+    await client.close()
