Keep servers for their grace period whichever relay tells of them

After the store's return from an older copy, servers that it does not list are kept for 2 s, within which they register again. A gateway that changed its relay in that time got all servers once more with a grace period of 0, if the new relay takes its changes from another one and has not talked to the store itself, and dropped them; requests found fewer servers until they were back.

Change: a grace period that has begun is not shortened, and a relay's is at least the rest of what it grants itself.

--- a/knapweeddock/gateway/placement/fleet.py
+++ b/knapweeddock/gateway/placement/fleet.py
@@ -191,14 +191,16 @@
             server_id: Identifier of the server.
             now: Monotonic time.
             grace_s: Time in seconds after which ``remove_expired`` removes the server unless
-                it registers again; at 0 it is removed at once.
+                it registers again; at 0 it is removed at once. A grace period that has begun
+                is neither prolonged nor shortened: another relay may not know of it.
         """
         state = self.servers.get(server_id)
         if state is None:
             return
-        if grace_s > 0:
-            if state.expires_at is None:
-                state.expires_at = now + grace_s
+        if state.expires_at is not None and now < state.expires_at:
+            return
+        if grace_s > 0 and state.expires_at is None:
+            state.expires_at = now + grace_s
             return
         del self.servers[server_id]
         self.departed.record(
@@ -337,6 +339,11 @@
         """Return the services that have servers that may get requests."""
         return list(self._regions)
 
+    def remaining_grace_s(self, now: float) -> float:
+        """Return the longest remaining time in seconds for which an unregistered server is kept."""
+        ends = [state.expires_at for state in self.servers.values() if state.expires_at is not None]
+        return max(0.0, max(ends, default=now) - now)
+
     def counts(self, now: float) -> dict[str, int]:
         """Return the number of servers by state; a server may be in several."""
         states = self.servers.values()
--- a/knapweeddock/gateway/service.py
+++ b/knapweeddock/gateway/service.py
@@ -154,7 +154,7 @@
             feed=self.feed,
             is_source_reachable=lambda: self.update_source.source_reachable,
             depth=lambda: self.update_source.depth,
-            server_removal_grace_s=self.store_watcher.server_removal_grace_s,
+            server_removal_grace_s=self._server_removal_grace_s,
         )
         self.update_source = UpdateSource(
             own_entry=self._registration_entry(),
@@ -169,6 +169,15 @@
             rng=self.rng,
         )
 
+    def _server_removal_grace_s(self) -> float:
+        """Return the seconds for which subscribers keep servers that the store does not list.
+
+        A relay that takes its changes from another one knows of the store's return only by
+        the servers that it keeps itself.
+        """
+        kept_s = self.routing_state.fleet.remaining_grace_s(time.monotonic())
+        return max(kept_s, self.store_watcher.server_removal_grace_s())
+
     def _build_coordination(self) -> None:
         self.registrations = Registrations(
             own_entry=self._registration_entry(),
--- a/tests/gateway/placement/test_fleet.py
+++ b/tests/gateway/placement/test_fleet.py
@@ -52,6 +52,20 @@
     assert group_members(fleet) == ["a"]
 
 
+def test_relay_that_knows_no_grace_period_does_not_shorten_one():
+    # A gateway that changes its relay after the store's return would drop servers that are
+    # about to register again.
+    fleet = make_fleet(make_server("a"))
+    fleet.deregister("a", 10.0, grace_s=2.0)
+    fleet.replace_all([], 10.5, grace_s=0.0)
+    fleet.remove_expired(11.9)
+    assert list(fleet.servers) == ["a"]
+    assert fleet.remaining_grace_s(11.5) == 0.5
+    fleet.remove_expired(12.0)
+    assert fleet.servers == {}
+    assert fleet.remaining_grace_s(12.0) == 0.0
+
+
 def test_repeated_removal_does_not_prolong_the_grace_period():
     fleet = make_fleet(make_server("a"))
     fleet.deregister("a", 10.0, grace_s=2.0)
--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -1,6 +1,7 @@
 """The store comes back from a copy that is some seconds old."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -160,3 +161,13 @@
         world.store.put("config", "main", NEXT_CONFIG)
         await until(lambda: version_of(world) == 9)
         assert world.gateway.store_client.era == 1001
+
+
+async def test_relay_lets_its_subscribers_keep_the_servers_that_it_keeps(tmp_path):
+    # It may take its changes from another relay, and have seen nothing of the store's return.
+    async with running_world(tmp_path / "boot.toml") as world:
+        gateway = world.gateway
+        assert gateway.relay.server_removal_grace_s() == 0.0
+        now = time.monotonic()
+        gateway.routing_state.fleet.deregister("i-0", now, grace_s=60.0)
+        assert 0.0 < gateway.relay.server_removal_grace_s() <= 60.0
