--- a/knapweeddock/gateway/requests/attempt.py
+++ b/knapweeddock/gateway/requests/attempt.py
@@ -183,10 +183,10 @@
         except PeerUnavailable as error:
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
         sent.sent_at = time.monotonic()
-        headers = self.wire.forwarded_request_headers(
-            outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
-        )
         try:
+            headers = self.wire.forwarded_request_headers(
+                outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
+            )
             return await self.exchange(outgoing, connection, headers)
         except PeerUnavailable as error:
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
