--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Planned stops of a gateway, with requests that come, or come back from a server, late."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -77,3 +78,61 @@
         assert reply.status == 503
         assert float(reply.headers["retry-after"]) == 0.0
         assert world.ran() == []
+
+
+class Caller:
+    """Sends one request after the other until the gateway takes no more connections.
+
+    Attributes:
+        statuses: Status of each request by its identifier; 0 for one without an answer.
+    """
+
+    def __init__(self, world: World, name: str, *, keeps_connection: bool) -> None:
+        self.world = world
+        self.name = name
+        self.keeps_connection = keeps_connection
+        self.statuses: dict[str, int] = {}
+
+    async def run(self) -> None:
+        while True:
+            try:
+                reader, writer = await self.world.connect()
+            except OSError:
+                return
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await self._use(reader, writer)
+            writer.close()
+
+    async def _use(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            number = len(self.statuses)
+            name = f"{self.name}-{number}"
+            self.statuses[name] = 0
+            method, path = ("GET", "/read/") if number % 2 else ("POST", "/book/")
+            writer.write(request_bytes(path + name, method=method, request_id=name, body=b"b"))
+            reply = await read_reply(reader)
+            self.statuses[name] = reply.status
+            if not self.keeps_connection or reply.headers.get("connection") == "close":
+                return
+
+
+@pytest.mark.parametrize("keeps_connection", [True, False], ids=["kept", "new"])
+async def test_stop_under_load_leaves_no_request_that_ran_without_an_answer(
+    settings_path, keeps_connection
+):
+    # Requests that had just been accepted were cut off without an answer.
+    async with running_world(settings_path, servers=3, grace="3s") as world:
+        for server in world.servers.values():
+            server.work_s = 0.2
+        callers = [
+            Caller(world, f"c{index}", keeps_connection=keeps_connection) for index in range(20)
+        ]
+        running = [asyncio.create_task(caller.run()) for caller in callers]
+        await until(lambda: len(world.ran()) > 40)
+        world.stop.set()
+        await world.running
+        await asyncio.gather(*running)
+        statuses = {name: status for each in callers for name, status in each.statuses.items()}
+        ran = set(world.ran())
+        assert [name for name, status in statuses.items() if name in ran and status != 200] == []
+        assert set(statuses.values()) <= {0, 200, 503}
