--- a/soak/faults.py
+++ b/soak/faults.py
@@ -235,7 +235,7 @@
 ADDED_KINDS = {
     2: (ReturnStore, LeaveServer, ServerFault.PAUSE),
     3: (LimitServer,),
-    4: (ForeignEntry, LoseAnswers),
+    4: (ForeignEntry, LoseAnswers, ServerFault.REPEAT),
 }
 """Kinds of faults that a generation added, at the end of the list of kinds."""
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import weakref
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -10,6 +11,9 @@
 
 SIGNATURE = "signed"
 
+REFUSAL = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+"""A refusal that does not name its request, as a faulty server sends it once more."""
+
 
 class ServerFault(Enum):
     """What the server does with requests."""
@@ -21,6 +25,7 @@
     RESET_AFTER_RUN = "reset after run"
     SILENT = "silent"
     PAUSE = "pause"
+    REPEAT = "repeat"
 
 
 @dataclass(kw_only=True)
@@ -76,6 +81,9 @@
         self._free_slots = asyncio.Semaphore(self.slots)
         self._site: web.TCPSite | None = None
         self._transports: set[asyncio.Transport] = set()
+        self._requests: weakref.WeakKeyDictionary[asyncio.Transport, int] = (
+            weakref.WeakKeyDictionary()
+        )
 
     async def listen(self, runner: web.AppRunner, port: int = 0) -> None:
         """Listen on ``port``, or on a free one."""
@@ -98,7 +106,8 @@
             answer.headers["Server-Leaving"] = "1"
         if self.limit:
             answer.headers["Server-Limit"] = self.limit
-        if identifier := request.headers.get("Request-Id"):
+        identifier = request.headers.get("Request-Id")
+        if identifier and self.fault is not ServerFault.REPEAT:
             answer.headers["Request-Id"] = identifier
         return answer
 
@@ -122,6 +131,8 @@
             return web.Response(status=503, headers=headers)
         if self.fault is ServerFault.SHED:
             return web.Response(status=503, headers={"Not-Executed": "1"})
+        if self.fault is ServerFault.REPEAT and self._repeats_refusal(request.transport):
+            return web.Response(status=503, headers={"Not-Executed": "1"})
         body = await request.read()
         if self.queue_limit is None:
             return await self._run(request, body)
@@ -129,6 +140,18 @@
             return web.Response(status=503, headers={"Not-Executed": "1"})
         return await self._run_in_slot(request, body)
 
+    def _repeats_refusal(self, transport: asyncio.Transport) -> bool:
+        """Refuse the second request of a connection, and send that refusal again with later ones.
+
+        Returns:
+            Whether the current request is to be refused.
+        """
+        count = self._requests.get(transport, 0)
+        self._requests[transport] = count + 1
+        if count > 1:
+            transport.write(REFUSAL)
+        return count == 1
+
     async def _run_in_slot(self, request: web.Request, body: bytes) -> web.StreamResponse:
         self.waiting += 1
         try:
