Wait for a silent server until the deadline if the request cannot be repeated

Operators report that a machine which was only silent for a while had its running work given up. TCP keep-alive ends a connection whose peer does not respond to TCP for 3 s. For a request that may be repeated that is right: it goes to another server in time. One that may not be repeated was answered 502 then, although a server that was frozen, or behind a cut, may go on, run it and respond before the deadline; giving up gains nothing.

Change: an exchange may wait longer for a silent peer, and requests that cannot be repeated do so until their deadline, to servers and over the hop.

The tests check the kernel's settings, since loopback cannot be silenced; they failed before by their arguments (no such wait existed).

--- a/knapweeddock/gateway/peering/peerforwarder.py
+++ b/knapweeddock/gateway/peering/peerforwarder.py
@@ -139,7 +139,10 @@
             return _unreachable(error)
         try:
             result = await self.attempt_runner.exchange(
-                outgoing, connection, self._headers(context)
+                outgoing,
+                connection,
+                self._headers(context),
+                remaining_s=context.deadline - time.monotonic(),
             )
         except PeerUnavailable as error:
             return _unreachable(error)
--- a/knapweeddock/gateway/requests/attempt.py
+++ b/knapweeddock/gateway/requests/attempt.py
@@ -187,7 +187,7 @@
             headers = self.wire.forwarded_request_headers(
                 outgoing.request.head, server_id=entry.server, remaining_s=remaining_s
             )
-            return await self.exchange(outgoing, connection, headers)
+            return await self.exchange(outgoing, connection, headers, remaining_s=remaining_s)
         except PeerUnavailable as error:
             return AttemptResult(outcome=AttemptOutcome.UNREACHABLE, reason=str(error))
         except ResponseError as error:
@@ -200,10 +200,18 @@
             raise
 
     async def exchange(
-        self, outgoing: OutgoingRequest, connection: HttpClientConnection, headers: HeaderList
+        self,
+        outgoing: OutgoingRequest,
+        connection: HttpClientConnection,
+        headers: HeaderList,
+        *,
+        remaining_s: float,
     ) -> AttemptResult:
         """Send a request with ``headers`` on a connection, and read the response.
 
+        A silent server is waited for until the deadline if the request cannot be repeated:
+        giving up would gain nothing, and the server may run it and respond.
+
         Raises:
             PeerUnavailable: The connection is closed; nothing was sent.
             ResponseError: There is no valid response.
@@ -227,6 +235,7 @@
             encode_request_head(head.method, head.target, headers) + body,
             echoed_header=self.wire.echoed_header(outgoing.metadata),
             head_only=head.method == b"HEAD",
+            silence_s=0.0 if outgoing.idempotent else remaining_s,
         )
         if not outgoing.has_id:
             # A second copy of the response could not be told from the next one.
--- a/knapweeddock/http1/client.py
+++ b/knapweeddock/http1/client.py
@@ -1,6 +1,7 @@
 """Client side of an HTTP/1.1 connection, with one exchange at a time."""
 
 import asyncio
+import math
 import socket
 from collections import deque
 from enum import Enum
@@ -33,6 +34,9 @@
 """TCP keep-alive: a connection whose peer is gone without closing it fails after about
 three seconds without traffic. Nothing else would reveal that the peer is gone."""
 
+MAX_KEEPALIVE_PROBES = 120
+"""Largest number of probes; the kernel takes up to 127."""
+
 
 CONNECT_ERRORS = (OSError, TimeoutError, ValueError, OverflowError)
 """What opening a connection raises, also for a host or a port that no connection can have."""
@@ -84,6 +88,7 @@
         self._writable.set()
         self._parser = httptools.HttpResponseParser(self)
         self._in_exchange = False
+        self._keepalive_probes = KEEPALIVE_PROBES
         self._persistent = True
         self._reset_response()
 
@@ -113,6 +118,7 @@
         *,
         echoed_header: tuple[bytes, bytes] | None = None,
         head_only: bool = False,
+        silence_s: float = 0.0,
     ) -> None:
         """Start an exchange by writing ``data``.
 
@@ -124,6 +130,8 @@
                 belong to any request of this connection: it is malformed unless this is
                 the first one, and the connection is not reused afterwards.
             head_only: Whether the response has no body, as for ``HEAD``.
+            silence_s: Time in seconds for which a peer that does not even respond to TCP is
+                waited for, if it is longer than usual. Such a peer may be frozen and go on.
 
         Raises:
             PeerUnavailable: The connection is closed; nothing was sent.
@@ -135,8 +143,17 @@
         self._head_only = head_only
         self._in_exchange = True
         self.exchange_count += 1
+        self._set_keepalive_probes(silence_s)
         self.transport.write(data)
 
+    def _set_keepalive_probes(self, silence_s: float) -> None:
+        wanted = math.ceil((silence_s - KEEPALIVE_IDLE_S) / KEEPALIVE_INTERVAL_S)
+        probes = min(MAX_KEEPALIVE_PROBES, max(KEEPALIVE_PROBES, wanted))
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and probes != self._keepalive_probes:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+            self._keepalive_probes = probes
+
     async def write(self, data: bytes) -> None:
         """Send a part of the request body, waiting while the server reads too slowly.
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -328,3 +328,35 @@
 async def test_port_that_does_not_exist_is_unavailable():
     with pytest.raises(PeerUnavailable):
         await connect(("127.0.0.1", 70_000), timeout_s=1.0)
+
+
+def silence_s(connection: HttpClientConnection) -> float:
+    """Return the time in seconds after which the kernel gives a silent peer up."""
+    sock = connection.transport.get_extra_info("socket")
+    idle, interval, probes = (
+        sock.getsockopt(socket.IPPROTO_TCP, option)
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+    )
+    return idle + interval * probes
+
+
+async def test_silent_peer_is_waited_for_as_long_as_an_exchange_wants():
+    # A frozen server that goes on later would have its running work given up after 3 s.
+    async with scripted_server(respond_with(make_response(b"1"), make_response(b"2"))) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST, silence_s=5.5)
+        assert silence_s(connection) >= 5.5
+        await connection.read_head()
+        assert await read_body(connection) == b"1"
+        connection.finish_exchange()
+        connection.start_exchange(GET_REQUEST)
+        assert silence_s(connection) == 3
+        connection.abort()
+
+
+async def test_absurd_wait_for_a_silent_peer_is_bounded():
+    async with scripted_server(respond_with(make_response(b"1"))) as address:
+        connection = await connect(address, timeout_s=1.0)
+        connection.start_exchange(GET_REQUEST, silence_s=1e9)
+        assert silence_s(connection) > 60
+        connection.abort()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from knapweeddock.http1.client import HttpClientConnection
 from standins import documents
 from standins.platformserver import ServerFault
 from tests.http1.scripted import read_head, scripted_server
@@ -345,3 +346,29 @@
             for index in range(10)
         ]
         assert {reply.status for reply in replies} == {200}
+
+
+@pytest.mark.parametrize(("method", "path"), [("POST", "/book/a"), ("GET", "/read/a")])
+async def test_only_requests_that_can_be_repeated_leave_a_silent_server(
+    settings_path, monkeypatch, method, path
+):
+    # A server that is frozen for longer than 3 s would have its running work given up.
+    waits = []
+    start_exchange = HttpClientConnection.start_exchange
+
+    def record(connection, data, **options):
+        start_exchange(connection, data, **options)
+        waits.append(options.get("silence_s", 0.0))
+
+    async with running_world(settings_path, servers=1) as world:
+        monkeypatch.setattr(HttpClientConnection, "start_exchange", record)
+        route = documents.route_row("r-book", "/book/", "unsafe", Timeout="8s")
+        read = documents.route_row("r-read", "/read/", "safe", Timeout="8s")
+        world.store.put("config", "main", documents.config("00000009", [route, read]))
+        await until(lambda: world.gateway.routing_state.config.version == 9)
+        waits.clear()
+        reply = await world.ask(path, method=method, body=b"b", budget_ms=7000)
+        assert reply.status == 200
+        # The platform's store is called on such connections, too, without a wait of its own.
+        longest_s = max(waits)
+        assert 6.0 < longest_s <= 7.0 if method == "POST" else longest_s == 0.0
