End a borrower's term before the lender's in spite of rounding

The borrower's reading was rounded down, so it used the slot after the lender had taken it back. At the largest drift that is assumed both ends are the same moment, and nothing was left for rounding.

Change: the borrower's term is a microsecond shorter. Its test failed before. This is in the separate processes; the gateway lends nothing.

--- a/knapweeddock/lending.py
+++ b/knapweeddock/lending.py
@@ -27,6 +27,10 @@
 GRANT_TERM_S = 2.0
 """Term of a grant in seconds."""
 
+ROUNDING_MARGIN_S = 1e-6
+"""Time in seconds by which a borrower's term is shorter still. Clock readings and sums of them are
+rounded; at the largest drift both terms end in the same moment."""
+
 REFUSAL_RETRY_AFTER_S = 0.2
 """Delay after which to ask a lender again that has nothing to lend now or is not ready."""
 
@@ -366,7 +370,8 @@
         ``RECEIVED_GRANTS_MAX`` grants are stored already.
         """
         self.backoffs.pop((grant.lender, grant.site), None)
-        expires_at = asked_at + grant.term_s * (1 - MAX_CLOCK_DRIFT_FRACTION)
+        term_s = grant.term_s * (1 - MAX_CLOCK_DRIFT_FRACTION) - ROUNDING_MARGIN_S
+        expires_at = asked_at + term_s
         if now >= expires_at or grant.count <= 0 or len(self.grants) >= RECEIVED_GRANTS_MAX:
             return
         if grant.grant_id not in self.grants:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -97,6 +97,21 @@
     assert borrower.acquire("p", end, lambda grant: True) is None
 
 
+def test_borrower_stops_before_the_lender_at_the_largest_drift_of_their_clocks():
+    # Rounded clock readings let the borrower use a slot that the lender had taken back.
+    slow, fast = 1 - MAX_CLOCK_DRIFT_FRACTION, 1 + MAX_CLOCK_DRIFT_FRACTION
+    for step in range(2000):
+        asked_at = step * 0.01
+        ended_at = asked_at + GRANT_TERM_S
+        lender_ends = 500.0 + asked_at * fast + GRANT_TERM_S * fast
+        borrower = Borrower()
+        now = 500.0 + asked_at * slow
+        borrower.accept(make_grant(), "p", asked_at=now, now=now)
+        lender_has_ended = 500.0 + ended_at * fast >= lender_ends
+        borrowed = borrower.acquire("p", 500.0 + ended_at * slow, lambda grant: True)
+        assert not (lender_has_ended and borrowed is not None)
+
+
 def test_borrowed_slots_are_limited_by_the_count_of_the_grant():
     borrower = Borrower()
     borrower.accept(make_grant(), "p", asked_at=0.0, now=0.0)
