Bound the doublings of the delay before a registration is written again

Two gateways with the same name would reach an exponent after some hours that a float cannot hold; the part would have been started again by background().

--- a/knapweeddock/gateway/store/registrations.py
+++ b/knapweeddock/gateway/store/registrations.py
@@ -42,7 +42,10 @@
 
 REPLACED_DELAY_S = 1.0
 """Time in seconds after which a registration that was replaced is written again, if it was not an
-older state that came late. It doubles each time, for two gateways with the same name."""
+older state that came late. It doubles each time, for two gateways with the same name, up to
+``MAX_DOUBLINGS`` times."""
+
+MAX_DOUBLINGS = 5
 
 PREVIOUS_ENTRY_WAIT_S = 0.5
 """Longest time in seconds for which a gateway that starts again waits for the registration that
@@ -137,7 +140,7 @@
         """Write this gateway's registration again each time it was replaced or removed."""
         while True:
             await self._may_be_replaced.wait()
-            delay_s = min(CHECK_INTERVAL_S, REPLACED_DELAY_S * 2**self._replaced_count)
+            delay_s = REPLACED_DELAY_S * 2 ** min(self._replaced_count, MAX_DOUBLINGS)
             await asyncio.sleep(delay_s * (0.8 + 0.4 * self.rng.random()))
             self._may_be_replaced.clear()
             found = self.gateways().get(self.own_entry.vm)
