--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -248,6 +248,8 @@
 @contextlib.asynccontextmanager
 async def deployment(count: int = 1) -> AsyncIterator[tuple[Store, list[Gateway]]]:
     """Yield the store and gateways that have not been started; end them afterwards."""
+    # Ends the case, and with it the gateways, if it takes too long.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     store = Store()
     host = f"127.{random.randrange(1, 200)}.{random.randrange(1, 250)}.1"
     port = await store.start(host)
