Show a gateway that sends requests to an evacuated zone for good

A relay that lists a topic again and finds what it had before keeps the position of its last known change, although it may have missed a change and its reversal. A subscriber that knows the state in between is sent nothing and keeps it until the topic changes again.

--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -20,7 +20,6 @@
 RUN = ["python3", "-m", "knapweeddock.platform"]
 """The ``run`` of the deploy file."""
 
-ZONES = {"z-a": "region-a", "z-b": "region-b"}
 GRACE_S = 6.0
 
 SETTINGS = """NodeName = "{name}"
@@ -41,6 +40,7 @@
 [Zones]
 z-a = "region-a"
 z-b = "region-b"
+z-c = "region-a"
 [Listen]
 Front = "{ip}:{front}"
 Ready = "{ip}:{ready}"
--- a/review/rig2/store.py
+++ b/review/rig2/store.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,6 +17,14 @@
 Json = dict[str, Any]
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 @dataclass(kw_only=True)
 class Store:
     """The store; it keeps its whole history.
@@ -24,6 +34,9 @@
         kinds: Objects by kind and name.
         history: Revision, kind and event of each change.
         is_silent: Whether calls are read and never answered.
+        connections: Open connections.
+        callers: The machines of connections that came to an address of one machine.
+        rejected: Machines whose connections are reset.
     """
 
     revision: int = 100
@@ -33,12 +46,35 @@
     server: asyncio.Server | None = None
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
+    callers: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
+    rejected: set[str] = field(default_factory=set)
 
     async def start(self, host: str) -> int:
         """Listen on a free port and return it."""
         self.server = await asyncio.start_server(self.serve, host, 0)
         return self.server.sockets[0].getsockname()[1]
 
+    async def start_for(self, host: str, machine: str) -> int:
+        """Listen for one machine on a free port and return it."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.callers[writer] = machine
+            if machine in self.rejected:
+                reset(writer)
+            else:
+                await self.serve(reader, writer)
+            del self.callers[writer]
+
+        server = await asyncio.start_server(serve, host, 0)
+        return server.sockets[0].getsockname()[1]
+
+    def reject(self, machine: str) -> None:
+        """Reset the connections of a machine, and those that it opens from now on."""
+        self.rejected.add(machine)
+        for writer, caller in list(self.callers.items()):
+            if caller == machine:
+                reset(writer)
+
     async def put(self, kind: str, name: str, spec: object) -> Json:
         """Write an object, as the operator and the upstreams do."""
         objects = self.kinds.setdefault(kind, {})
